--- /dev/null
+++ b/backlog/backlog.go
@@ -0,0 +1,258 @@
+// Package backlog holds waiting requests: a bounded queue for each tenant and pool, served by deficit round robin, paid for with
+// credits, and never spinning (docs/design.md §5.3, §4.4).
+package backlog
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"asterridge/fail"
+)
+
+// Item is a waiting request. Place is set on first entry and kept when it comes again.
+type Item struct {
+	Tenant, Pool int
+	Weight       int
+	Limit        int // how many of the tenant may wait
+	Cost         int
+	Scope        string
+	Body         any // what Draw needs to know
+
+	place   uint64
+	entered time.Time
+	granted chan struct{}
+}
+
+// Options of a backlog whose credits are of type G.
+type Options[G any] struct {
+	// Draw takes a credit for the item, if there is one. It is called under the backlog's lock.
+	Draw func(item *Item) (G, bool)
+	// Return gives back a credit whose item left in the moment of the grant.
+	Return func(credit G)
+	// HeldUntil gives the scope's not-before moment, or zero.
+	HeldUntil func(scope string) time.Time
+}
+
+// Backlog is all queues of one proxy.
+type Backlog[G any] struct {
+	options Options[G]
+	mu      sync.Mutex
+	places  uint64
+	rings   map[int]*ring
+	flows   map[[2]int]*flow
+	grants  map[*Item]G
+	wake    *time.Timer
+	wakeAt  time.Time
+}
+
+type ring struct {
+	flows  []*flow
+	cursor int
+	isNew  bool // the cursor has just come to its flow
+}
+
+type flow struct {
+	tenant, pool int
+	items        []*Item // by place
+	weight       int
+	deficit      int
+	heldUntil    time.Time
+	released     int // grants since the hold ended
+}
+
+const (
+	quantum   = 4
+	paceStep  = 100 * time.Millisecond
+	paceSteps = 8
+)
+
+// New makes an empty backlog.
+func New[G any](options Options[G]) *Backlog[G] {
+	return &Backlog[G]{options: options, rings: map[int]*ring{}, flows: map[[2]int]*flow{}, grants: map[*Item]G{}}
+}
+
+// Take waits for the item's turn and gives its credit. An item that comes again keeps its place and is never bounced for a full queue.
+func (b *Backlog[G]) Take(ctx context.Context, item *Item) (G, error) {
+	var none G
+	b.mu.Lock()
+	f := b.flow(item)
+	isAgain := item.place != 0
+	if !isAgain {
+		if len(f.items) >= item.Limit {
+			b.mu.Unlock()
+			return none, fail.New(fail.BacklogFull, "%d requests wait", len(f.items))
+		}
+		b.places++
+		item.place, item.entered = b.places, time.Now()
+	}
+	item.granted = make(chan struct{})
+	i := sort.Search(len(f.items), func(i int) bool { return f.items[i].place > item.place })
+	f.items = append(f.items, nil)
+	copy(f.items[i+1:], f.items[i:])
+	f.items[i] = item
+	b.pump(item.Pool)
+	b.mu.Unlock()
+	select {
+	case <-item.granted:
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if credit, isGranted := b.grants[item]; isGranted {
+		delete(b.grants, item)
+		if ctx.Err() == nil {
+			return credit, nil
+		}
+		b.options.Return(credit)
+		b.pump(item.Pool)
+		return none, fail.Wrap(ctx.Err(), fail.Stale, "left in the moment of its turn")
+	}
+	b.remove(item)
+	return none, fail.Wrap(ctx.Err(), fail.Stale, "waited in the backlog")
+}
+
+func (b *Backlog[G]) flow(item *Item) *flow {
+	at := [2]int{item.Tenant, item.Pool}
+	f := b.flows[at]
+	if f == nil {
+		f = &flow{tenant: item.Tenant, pool: item.Pool}
+		b.flows[at] = f
+		r := b.rings[item.Pool]
+		if r == nil {
+			r = &ring{isNew: true}
+			b.rings[item.Pool] = r
+		}
+		r.flows = append(r.flows, f)
+	}
+	f.weight = item.Weight
+	return f
+}
+
+func (b *Backlog[G]) remove(item *Item) {
+	f := b.flow(item)
+	for i, other := range f.items {
+		if other == item {
+			f.items = append(f.items[:i], f.items[i+1:]...)
+			return
+		}
+	}
+}
+
+// Wake is called when credits of a pool may have come free, or a hold has changed.
+func (b *Backlog[G]) Wake(pool int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pump(pool)
+}
+
+// WakeAll is Wake for every pool.
+func (b *Backlog[G]) WakeAll() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pumpAll()
+}
+
+func (b *Backlog[G]) pumpAll() {
+	for pool := range b.rings {
+		b.pump(pool)
+	}
+}
+
+// pump grants what can be granted now, in turn, and sets the schedule for what a hold keeps back.
+func (b *Backlog[G]) pump(pool int) {
+	r := b.rings[pool]
+	if r == nil {
+		return
+	}
+	for idle := 0; idle < len(r.flows); {
+		f := r.flows[r.cursor]
+		if r.isNew {
+			f.deficit += quantum * f.weight
+			r.isNew = false
+		}
+		if len(f.items) == 0 || !b.isReleased(f) {
+			f.deficit = 0
+			r.advance()
+			idle++
+			continue
+		}
+		item := f.items[0]
+		if f.deficit < item.Cost {
+			r.advance()
+			idle = 0 // it has work: its deficit grows each time round
+			continue
+		}
+		credit, isPaid := b.options.Draw(item)
+		if !isPaid {
+			return // the turn stays here until a credit comes free
+		}
+		f.deficit -= item.Cost
+		f.items = f.items[1:]
+		f.released++
+		idle = 0
+		b.grants[item] = credit
+		close(item.granted)
+	}
+}
+
+func (r *ring) advance() {
+	r.cursor = (r.cursor + 1) % len(r.flows)
+	r.isNew = true
+}
+
+// isReleased looks at the flow's hold and at its pacer (§4.4).
+func (b *Backlog[G]) isReleased(f *flow) bool {
+	now := time.Now()
+	if until := b.options.HeldUntil(f.items[0].Scope); !until.IsZero() && now.Before(until) {
+		f.heldUntil, f.released = until, 0
+		b.schedule(until)
+		return false
+	}
+	if f.heldUntil.IsZero() {
+		return true
+	}
+	step := int(now.Sub(f.heldUntil) / paceStep)
+	if step >= paceSteps {
+		f.heldUntil = time.Time{}
+		return true
+	}
+	if f.released < 2<<step {
+		return true
+	}
+	b.schedule(f.heldUntil.Add(time.Duration(step+1) * paceStep))
+	return false
+}
+
+// schedule wakes the backlog at the earliest moment asked for.
+func (b *Backlog[G]) schedule(at time.Time) {
+	now := time.Now()
+	if b.wakeAt.After(now) && !at.Before(b.wakeAt) {
+		return
+	}
+	b.wakeAt = at
+	if b.wake != nil {
+		b.wake.Stop()
+	}
+	b.wake = time.AfterFunc(at.Sub(now), b.WakeAll)
+}
+
+// Depth is how many wait, by tenant and pool, and since when the oldest waits.
+type Depth struct {
+	Tenant, Pool, Count int
+	Oldest              time.Duration
+}
+
+// Depths lists the queues that are not empty.
+func (b *Backlog[G]) Depths() []Depth {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []Depth
+	for _, f := range b.flows {
+		if len(f.items) > 0 {
+			all = append(all, Depth{f.tenant, f.pool, len(f.items), time.Since(f.items[0].entered)})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/blueprint/state.go
@@ -0,0 +1,110 @@
+package blueprint
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"asterridge/fail"
+	"asterridge/register"
+)
+
+// Registers besides the blueprint that the data plane follows (docs/design.md §2.1).
+const (
+	ReplicasKey = "replicas"
+	MembersKey  = "members"
+	KeysPrefix  = "keys/"
+)
+
+// Replica is what the platform tells of a back end.
+type Replica struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Pool    string `json:"pool"`
+	Zone    string `json:"zone"`
+	State   string `json:"state"` // "present", "leaving" or "warming"
+	Limit   int    `json:"limit"` // requests at a time
+}
+
+// Access is what is kept of an access key, under its hash.
+type Access struct {
+	IsRevoked bool `json:"revoked"`
+}
+
+// Member is a core.
+type Member struct {
+	ID          uint8  `json:"id"`
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+}
+
+// HashKey is how an access key is kept.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte("asterridge key " + key))
+	return hex.EncodeToString(sum[:16])
+}
+
+// Load reads all fields as values of one type.
+func Load[T any](fields register.Fields) (map[string]T, error) {
+	all := make(map[string]T, len(fields))
+	for name, raw := range fields {
+		if err := load(all, name, raw); err != nil {
+			return nil, fail.Wrap(err, fail.Malformed, "register field "+name)
+		}
+	}
+	return all, nil
+}
+
+// Field encodes one field.
+func Field(name string, item any) register.Fields {
+	raw, _ := json.Marshal(item) // plain structs always encode
+	return register.Fields{name: raw}
+}
+
+// ReadReplicas takes the platform's list of replicas, field by field.
+func ReadReplicas(text []byte) ([]Replica, error) {
+	doc, err := document(text)
+	if err != nil {
+		return nil, err
+	}
+	var all []Replica
+	err = doc.object(func(field string, v value) error {
+		if field != "replicas" {
+			return v.bounce(fail.UnknownField, "not a field of the platform's news")
+		}
+		return v.list(func(item value) error {
+			r := Replica{State: "present", Limit: 4}
+			err := item.object(func(field string, v value) error {
+				switch field {
+				case "name":
+					return set(&r.Name, v.name)
+				case "address":
+					return set(&r.Address, v.text)
+				case "pool":
+					return set(&r.Pool, v.name)
+				case "zone":
+					return set(&r.Zone, v.name)
+				case "state":
+					return set(&r.State, word(v, "present", "leaving", "warming", "gone"))
+				case "limit":
+					return set(&r.Limit, between(v, 1, 10000))
+				}
+				return v.bounce(fail.UnknownField, "not a field of a replica")
+			})
+			if err == nil && r.Name == "" {
+				err = item.bounce(fail.Missing, "needs a name")
+			}
+			if err == nil && r.State != "gone" && r.State != "leaving" && (r.Address == "" || r.Pool == "") {
+				err = item.bounce(fail.Missing, "needs address and pool")
+			}
+			all = append(all, r)
+			return err
+		})
+	})
+	if err != nil {
+		return nil, fail.Wrap(err, fail.Malformed, "platform")
+	}
+	return all, nil
+}
--- /dev/null
+++ b/blueprint/value.go
@@ -0,0 +1,154 @@
+// Package blueprint reads, checks and compiles what operators declare (docs/design.md §2.1, §7).
+package blueprint
+
+import (
+	"fmt"
+	"regexp"
+
+	"github.com/go-faster/jx"
+
+	"asterridge/fail"
+)
+
+// value is one JSON value with its place in the operator's text.
+type value struct {
+	raw  jx.Raw
+	path string
+	at   int // byte position, from 1
+}
+
+func (v value) bounce(c fail.Code, format string, args ...any) error {
+	f := fail.New(c, format, args...)
+	f.Field, f.At = v.path, v.at
+	return f
+}
+
+// document checks that the whole text is one JSON value.
+func document(text []byte) (value, error) {
+	d := jx.DecodeBytes(text)
+	if err := d.Validate(); err != nil {
+		return value{}, fail.Wrap(err, fail.Malformed, "read JSON")
+	}
+	return nested(text, jx.DecodeBytes(text), "", 1)
+}
+
+// nested takes the decoder's next value; its place shows in what is left of the text's capacity.
+func nested(text []byte, d *jx.Decoder, path string, base int) (value, error) {
+	raw, err := d.Raw()
+	if err != nil {
+		return value{}, fail.Wrap(err, fail.Malformed, "read "+path)
+	}
+	return value{raw: raw, path: path, at: base + cap(text) - cap(raw)}, nil
+}
+
+func (v value) need(t jx.Type, name string) error {
+	if v.raw.Type() != t {
+		return v.bounce(fail.WrongType, "needs %s, has %s", name, v.raw.Type())
+	}
+	return nil
+}
+
+func (v value) object(read func(name string, field value) error) error {
+	if err := v.need(jx.Object, "an object"); err != nil {
+		return err
+	}
+	d, met := jx.DecodeBytes(v.raw), map[string]bool{}
+	return d.Obj(func(d *jx.Decoder, name string) error {
+		field, err := nested(v.raw, d, join(v.path, name), v.at)
+		if err != nil {
+			return err
+		}
+		if met[name] {
+			return field.bounce(fail.RepeatField, "given twice")
+		}
+		met[name] = true
+		return read(name, field)
+	})
+}
+
+func join(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func (v value) list(read func(item value) error) error {
+	if err := v.need(jx.Array, "a list"); err != nil {
+		return err
+	}
+	d, i := jx.DecodeBytes(v.raw), 0
+	return d.Arr(func(d *jx.Decoder) error {
+		item, err := nested(v.raw, d, fmt.Sprintf("%s[%d]", v.path, i), v.at)
+		i++
+		if err != nil {
+			return err
+		}
+		return read(item)
+	})
+}
+
+func (v value) text() (string, error) {
+	if err := v.need(jx.String, "a string"); err != nil {
+		return "", err
+	}
+	s, err := jx.DecodeBytes(v.raw).Str()
+	return s, fail.Wrap(err, fail.Malformed, "read "+v.path)
+}
+
+var plainName = regexp.MustCompile(`^[\pL\pN][\pL\pN._-]{0,63}$`)
+
+// name reads a string that may name a thing.
+func (v value) name() (string, error) {
+	s, err := v.text()
+	if err == nil && !plainName.MatchString(s) {
+		err = v.bounce(fail.OutOfRange, "%q is no name: letters, digits, dot, dash, underscore; at most 64", s)
+	}
+	return s, err
+}
+
+func (v value) oneOf(words ...string) (string, error) {
+	s, err := v.text()
+	if err != nil {
+		return "", err
+	}
+	for _, word := range words {
+		if s == word {
+			return s, nil
+		}
+	}
+	return "", v.bounce(fail.OutOfRange, "%q is not one of %v", s, words)
+}
+
+func (v value) flag() (bool, error) {
+	if err := v.need(jx.Bool, "true or false"); err != nil {
+		return false, err
+	}
+	b, err := jx.DecodeBytes(v.raw).Bool()
+	return b, fail.Wrap(err, fail.Malformed, "read "+v.path)
+}
+
+func (v value) whole(least, most int) (int, error) {
+	if err := v.need(jx.Number, "a whole number"); err != nil {
+		return 0, err
+	}
+	n, err := jx.DecodeBytes(v.raw).Int()
+	if err != nil {
+		return 0, v.bounce(fail.WrongType, "%s is not a whole number", v.raw)
+	}
+	if n < least || n > most {
+		return 0, v.bounce(fail.OutOfRange, "%d is not within %d to %d", n, least, most)
+	}
+	return n, nil
+}
+
+func (v value) figure(least, most float64) (float64, error) {
+	if err := v.need(jx.Number, "a number"); err != nil {
+		return 0, err
+	}
+	n, err := jx.DecodeBytes(v.raw).Float64()
+	if err != nil || n < least || n > most {
+		return 0, v.bounce(fail.OutOfRange, "%s is not within %g to %g", v.raw, least, most)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/cmd/fleet/fleet.go
@@ -0,0 +1,409 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/daemon"
+	"asterridge/link"
+	"asterridge/router"
+	"asterridge/standin"
+)
+
+// process is one daemon that this tool started.
+type process struct {
+	name    string
+	program string
+	args    []string
+	cmd     *exec.Cmd
+	ended   chan struct{}
+}
+
+type fleet struct {
+	options   options
+	wire      *link.Wire
+	processes map[string]*process
+	started   []string
+	cores     []string // addresses
+	proxies   []string
+	admins    []string
+	replicas  map[string]string // name → address
+	keys      []standin.Caller
+	mu        sync.Mutex
+	facts     []standin.Fact
+	figures   []string
+}
+
+const fleetName = "loopback"
+
+// place gives a free port on a loopback address of its own for each machine.
+func place(machine int) (string, error) {
+	ip := fmt.Sprintf("127.0.%d.%d", 1+machine/200, 1+machine%200)
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+func (f *fleet) places(machine, count int) ([]string, error) {
+	var all []string
+	for range count {
+		at, err := place(machine)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, at)
+	}
+	return all, nil
+}
+
+// start brings up cores, replicas, agents and proxies, and has the deployment's blueprint accepted.
+func start(ctx context.Context, o options) (*fleet, error) {
+	f := &fleet{options: o, wire: link.NewWire(fleetName, &link.TCP{}), processes: map[string]*process{}, replicas: map[string]string{}}
+	for i := range 4 {
+		at, err := place(i)
+		if err != nil {
+			return f, err
+		}
+		f.cores = append(f.cores, at)
+	}
+	for i := range f.cores {
+		if err := f.run(fmt.Sprintf("core-%d", i+1), "core", f.coreArgs(i)...); err != nil {
+			return f, err
+		}
+	}
+	if err := eventually(ctx, 15*time.Second, "the cores found a fleet", f.isFounded); err != nil {
+		return f, err
+	}
+	if err := f.startReplicas(); err != nil {
+		return f, err
+	}
+	for i := range o.proxies {
+		if err := f.startPair(i); err != nil {
+			return f, err
+		}
+	}
+	if err := f.declare(ctx); err != nil {
+		return f, err
+	}
+	err := eventually(ctx, 15*time.Second, "all proxies have the blueprint and are ready", func() bool { return f.areReady(1) })
+	return f, err
+}
+
+func (f *fleet) coreArgs(i int) []string {
+	seeds := append(append([]string(nil), f.cores[:i]...), f.cores[i+1:]...)
+	return []string{"-name", fmt.Sprintf("core-%d", i+1), "-zone", fmt.Sprintf("zone-%d", i+1), "-fleet", fleetName, "-address", f.cores[i],
+		"-seeds", strings.Join(seeds, ","), "-data", filepath.Join(f.options.data, fmt.Sprintf("core-%d", i+1))}
+}
+
+func (f *fleet) startReplicas() error {
+	o := f.options
+	for i := range o.replicas + 1 {
+		name, kind := fmt.Sprintf("deep-%d", i+1-o.replicas/3), "model"
+		switch {
+		case i == o.replicas:
+			name, kind = "web-1", "web"
+		case i < o.replicas/3:
+			name = fmt.Sprintf("quick-%d", i+1)
+		}
+		at, err := place(100 + i)
+		if err != nil {
+			return err
+		}
+		f.replicas[name] = at
+		if err := f.run(name, "standin", "replica", "-name", name, "-address", at, "-kind", kind, "-ledger", f.path(name+".ledger")); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startPair starts a machine's agent and proxy.
+func (f *fleet) startPair(i int) error {
+	at, err := f.places(4+i, 4)
+	if err != nil {
+		return err
+	}
+	zone := fmt.Sprintf("zone-%d", i%4+1)
+	if err := f.run(fmt.Sprintf("agent-%d", i+1), "agent", "-name", fmt.Sprintf("agent-%d", i+1), "-zone", zone, "-fleet", fleetName,
+		"-address", at[0], "-local", at[1], "-seeds", strings.Join(f.cores[1:], ",")); err != nil {
+		return err
+	}
+	f.proxies, f.admins = append(f.proxies, at[2]), append(f.admins, at[3])
+	return f.run(fmt.Sprintf("proxy-%d", i+1), "proxy", "-name", fmt.Sprintf("proxy-%d", i+1), "-zone", zone, "-fleet", fleetName,
+		"-address", at[2], "-agent", at[1], "-admin", at[3], "-grace_ms", "3000")
+}
+
+// declare gives the fleet its blueprint, keys and replicas.
+func (f *fleet) declare(ctx context.Context) error {
+	text, err := os.ReadFile(filepath.Join(f.options.examples, f.options.deployment, "blueprint.json"))
+	if err != nil {
+		return err
+	}
+	if _, err := f.order(ctx, "blueprint", daemon.BlueprintOrder{Text: text}); err != nil {
+		return err
+	}
+	if f.options.isObserve {
+		if _, err := f.order(ctx, "blueprint", daemon.BlueprintOrder{Text: []byte(`{"hold":{"observe":true}}`), IsPartial: true}); err != nil {
+			return err
+		}
+	}
+	plan, err := blueprint.Read(text, nil, false)
+	if err != nil {
+		return err
+	}
+	for name, t := range plan.Tenants {
+		c := standin.Caller{Tenant: name, Access: fmt.Sprintf("%s-key-%d", name, f.options.seed), Weight: t.Weight}
+		f.keys = append(f.keys, c)
+		if _, err := f.order(ctx, "keys", daemon.KeyOrder{Tenant: name, Hash: blueprint.HashKey(c.Access)}); err != nil {
+			return err
+		}
+		if t.IsWalled {
+			f.fact("walled", name, "")
+		}
+	}
+	sort.Slice(f.keys, func(i, j int) bool { return f.keys[i].Tenant < f.keys[j].Tenant })
+	var told []blueprint.Replica
+	for name, at := range f.replicas {
+		told = append(told, blueprint.Replica{Name: name, Address: at, Pool: strings.SplitN(name, "-", 2)[0], Zone: "zone-1", State: "present", Limit: 8})
+	}
+	raw, _ := json.Marshal(map[string]any{"replicas": told})
+	_, err = f.order(ctx, "replicas", daemon.ReplicasOrder{Text: raw})
+	return err
+}
+
+func (f *fleet) path(name string) string { return filepath.Join(f.options.data, name) }
+
+// run starts a program; its log goes to the data folder.
+func (f *fleet) run(name, program string, args ...string) error {
+	log, err := os.OpenFile(f.path(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	p := &process{name: name, program: program, args: args, ended: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(f.options.bin, program), args...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	go func() { _ = p.cmd.Wait(); close(p.ended) }()
+	if f.processes[name] == nil {
+		f.started = append(f.started, name)
+	}
+	f.processes[name] = p
+	return nil
+}
+
+// stop ends all processes that this tool started: kindly first, then not.
+func (f *fleet) stop() {
+	for i := len(f.started) - 1; i >= 0; i-- {
+		_ = f.processes[f.started[i]].cmd.Process.Signal(syscall.SIGTERM)
+	}
+	limit := time.After(6 * time.Second)
+	for _, name := range f.started {
+		select {
+		case <-f.processes[name].ended:
+		case <-limit:
+			_ = f.processes[name].cmd.Process.Kill()
+			<-f.processes[name].ended
+		}
+	}
+}
+
+// order sends a change to the first core that takes it, and notes it as a fact where a rule speaks of it.
+func (f *fleet) order(ctx context.Context, name string, q any) (daemon.Accepted, error) {
+	var last error
+	for _, core := range f.cores {
+		short, stop := context.WithTimeout(ctx, 5*time.Second)
+		a, err := link.Call[daemon.Accepted](short, f.wire, core, "/op/"+name, q)
+		stop()
+		if err == nil {
+			if name == "blueprint" {
+				f.fact("blueprint", "", strconv.FormatUint(a.Version, 10))
+			}
+			return a, nil
+		}
+		last = err
+	}
+	return daemon.Accepted{}, last
+}
+
+func (f *fleet) fact(kind, name, value string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.facts = append(f.facts, standin.Fact{Kind: kind, Name: name, Value: value, At: time.Now()})
+}
+
+func (f *fleet) note(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.figures = append(f.figures, fmt.Sprintf(format, args...))
+}
+
+// query asks the first core that answers.
+func (f *fleet) query(what string) []router.Row {
+	for _, core := range f.cores {
+		short, stop := context.WithTimeout(context.Background(), 3*time.Second)
+		a, err := link.Call[daemon.QueryAnswer](short, f.wire, core, "/query", daemon.Query{What: what})
+		stop()
+		if err == nil {
+			return a.Rows
+		}
+	}
+	return nil
+}
+
+// isFounded says whether every core is a member and sees a majority.
+func (f *fleet) isFounded() bool {
+	for _, core := range f.cores {
+		if !isReady(core) {
+			return false
+		}
+	}
+	return true
+}
+
+func isReady(address string) bool {
+	r, err := http.Get("http://" + address + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+// areReady says whether all proxies are ready and have the newest blueprint.
+func (f *fleet) areReady(least uint64) bool {
+	have := 0
+	for _, row := range f.query("acks") {
+		version, _ := row["blueprint"].(float64)
+		if row["has_newest"] == true && uint64(version) >= least && row["current"] == true {
+			have++
+		}
+	}
+	if have < f.options.proxies {
+		return false
+	}
+	for _, admin := range f.admins {
+		if !isReady(admin) {
+			return false
+		}
+	}
+	return true
+}
+
+// behave sets how replicas treat a tenant.
+func (f *fleet) behave(b standin.Behaviour) error {
+	raw, _ := json.Marshal(b)
+	for name, at := range f.replicas {
+		r, err := http.Post("http://"+at+"/control", "application/json", bytes.NewReader(raw))
+		if err != nil {
+			return fmt.Errorf("control %s: %w", name, err)
+		}
+		_ = r.Body.Close()
+	}
+	return nil
+}
+
+// play runs the callers and, meanwhile, the script.
+func (f *fleet) play(ctx context.Context, s script) error {
+	var keys []string
+	for _, c := range f.keys {
+		keys = append(keys, fmt.Sprintf("%s=%s=%d", c.Tenant, c.Access, c.Weight))
+	}
+	err := f.run("callers", "standin", "callers", "-name", "callers", "-proxies", strings.Join(f.proxies, ","), "-keys", strings.Join(keys, ","),
+		"-count", strconv.Itoa(f.options.count), "-rate", strconv.Itoa(f.options.rate), "-seed", strconv.FormatUint(f.options.seed, 10),
+		"-ledger", f.path("callers.ledger"))
+	if err != nil {
+		return err
+	}
+	if err := s.play(ctx, f); err != nil {
+		return err
+	}
+	limit := time.After(time.Duration(f.options.count/f.options.rate+90) * time.Second)
+	select {
+	case <-f.processes["callers"].ended:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-limit:
+		return fmt.Errorf("the callers did not come to an end")
+	}
+}
+
+func readLines[T any](path string) []T {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil
+	}
+	defer file.Close()
+	var all []T
+	lines := bufio.NewReader(file)
+	for {
+		raw, err := lines.ReadBytes('\n')
+		var line T
+		if len(raw) > 0 && json.Unmarshal(raw, &line) == nil {
+			all = append(all, line)
+		}
+		if err == io.EOF {
+			return all
+		}
+		if err != nil {
+			return all
+		}
+	}
+}
+
+// report checks the ledgers and prints the table; it gives the number of breaches.
+func (f *fleet) report() int {
+	l := standin.Ledgers{Asked: readLines[standin.Asked](f.path("callers.ledger")), Facts: f.facts}
+	for name := range f.replicas {
+		l.Runs = append(l.Runs, readLines[standin.Run](f.path(name+".ledger"))...)
+	}
+	fmt.Println(standin.Summary(l.Asked))
+	hit, blocks, ran, refused := 0, 0, 0, 0
+	for _, r := range l.Runs {
+		if r.HasRun {
+			ran++
+			hit += r.Hit
+			blocks += r.Blocks
+		} else {
+			refused++
+		}
+	}
+	fmt.Printf("replicas: ran %d, refused %d, cache hit share %.3f\n", ran, refused, float64(hit)/float64(max(1, blocks)))
+	for _, figure := range f.figures {
+		fmt.Println(figure)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "rule\tbreaches\twhat\tfirst")
+	sum := 0
+	for _, finding := range standin.Check(l) {
+		fmt.Fprintf(w, "%d\t%d\t%s\t%s\n", finding.Rule, finding.Count, finding.Name, finding.First)
+		sum += finding.Count
+	}
+	_ = w.Flush()
+	fmt.Println("data:", f.options.data)
+	return sum
+}
--- /dev/null
+++ b/cmd/fleet/main.go
@@ -0,0 +1,124 @@
+// Command fleet runs a whole fleet as processes on this machine's loopback, with stand-ins around it, and checks the ledgers afterwards.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+func main() {
+	set := flag.NewFlagSet("fleet", flag.ExitOnError)
+	set.Usage = func() {
+		fmt.Fprintln(set.Output(), "fleet: runs a whole fleet on this machine and checks the never-rules\n\nScripts:")
+		for _, s := range scripts {
+			fmt.Fprintf(set.Output(), "  %-10s %s\n", s.name, s.purpose)
+		}
+		fmt.Fprintln(set.Output(), "\nFlags:")
+		set.PrintDefaults()
+	}
+	o := options{}
+	set.StringVar(&o.bin, "bin", filepath.Dir(os.Args[0]), "`folder` of the programs")
+	set.StringVar(&o.data, "data", "", "`folder` for disks, logs and ledgers; a new one below the temporary folder by default")
+	set.StringVar(&o.deployment, "deployment", "trails", "trails or archive")
+	set.StringVar(&o.examples, "examples", "examples", "`folder` of the example blueprints")
+	set.IntVar(&o.proxies, "proxies", 8, "machines with an agent and a proxy")
+	set.IntVar(&o.replicas, "replicas", 18, "model replicas")
+	set.IntVar(&o.count, "count", 0, "requests; 0: as the deployment has it")
+	set.IntVar(&o.rate, "rate", 0, "requests a second; 0: as the deployment has it")
+	set.Uint64Var(&o.seed, "seed", 1, "seed of the callers' mix and of the script")
+	set.BoolVar(&o.isObserve, "observe", false, "hold in observe-only mode: for paired runs without the shared hold")
+	script := set.String("script", "throttle", "what happens during the run")
+	_ = set.Parse(os.Args[1:])
+	chosen, err := findScript(*script)
+	if err == nil {
+		err = o.check()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	f, err := start(ctx, o)
+	if err == nil {
+		err = f.play(ctx, chosen)
+	}
+	f.stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fleet:", err)
+		os.Exit(1)
+	}
+	breaches := f.report()
+	fmt.Printf("repeat with: fleet -deployment %s -script %s -seed %d -count %d -rate %d -proxies %d -replicas %d\n",
+		o.deployment, *script, o.seed, o.count, o.rate, o.proxies, o.replicas)
+	if breaches > 0 {
+		os.Exit(1)
+	}
+}
+
+type options struct {
+	bin, data, deployment, examples string
+	proxies, replicas, count, rate  int
+	seed                            uint64
+	isObserve                       bool
+}
+
+func (o *options) check() error {
+	if o.deployment != "trails" && o.deployment != "archive" {
+		return fmt.Errorf("deployment: %q is neither trails nor archive", o.deployment)
+	}
+	if o.proxies < 1 || o.proxies > 64 || o.replicas < 2 || o.replicas > 64 {
+		return fmt.Errorf("proxies and replicas: 1 to 64 and 2 to 64")
+	}
+	if o.rate == 0 {
+		o.rate = map[string]int{"trails": 40, "archive": 60}[o.deployment]
+	}
+	if o.count == 0 {
+		o.count = o.rate * 15
+	}
+	if o.data == "" {
+		folder, err := os.MkdirTemp("", "asterridge-")
+		if err != nil {
+			return err
+		}
+		o.data = folder
+	}
+	return os.MkdirAll(o.data, 0o755)
+}
+
+// script is what happens while the callers ask.
+type script struct {
+	name, purpose string
+	play          func(ctx context.Context, f *fleet) error
+}
+
+func findScript(name string) (script, error) {
+	for _, s := range scripts {
+		if s.name == name {
+			return s, nil
+		}
+	}
+	return script{}, fmt.Errorf("script: there is no %q; see fleet -h", name)
+}
+
+// eventually asks again and again, within the limit, until the question is answered with yes.
+func eventually(ctx context.Context, limit time.Duration, what string, isSo func() bool) error {
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	beat := time.NewTicker(20 * time.Millisecond)
+	defer beat.Stop()
+	for !isSo() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("not within %v: %s", limit, what)
+		case <-beat.C:
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/proxy/main.go
@@ -0,0 +1,31 @@
+// Command proxy is a thin daemon over the router library.
+package main
+
+import (
+	"context"
+	"time"
+
+	"asterridge/daemon"
+)
+
+func main() {
+	s := daemon.NewSettings("proxy", "leads callers' requests to replicas under the shared waiting rule")
+	agent := s.Address("agent", "`ip:port` of the agent on loopback")
+	admin := s.Address("admin", "`ip:port` on loopback for queries and readiness")
+	grace := s.Whole("grace_ms", 8000, 0, 600000, "how many `ms` running streams have after a stop")
+	s.Needed("name", "zone", "address", "agent", "admin")
+	daemon.Main(s, func(ctx context.Context) error {
+		callers, err := s.Place.Net.Listen(s.Place.Address)
+		if err != nil {
+			return err
+		}
+		queries, err := s.Place.Net.Listen(*admin)
+		if err != nil {
+			return err
+		}
+		proxy := daemon.NewProxy(s.Place, daemon.ProxyOptions{
+			Agent: *agent, Admin: *admin, Grace: time.Duration(*grace) * time.Millisecond, Seed: uint64(time.Now().UnixNano()),
+		})
+		return proxy.Serve(ctx, callers, queries)
+	})
+}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,142 @@
+// Command standin plays a system outside the fleet: a replica or web back end, or the callers.
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"asterridge/daemon"
+	"asterridge/standin"
+)
+
+const help = `standin plays a system outside the fleet.
+
+  standin replica FLAGS   a model replica or web back end
+  standin callers FLAGS   callers of the three kinds and of the web back end
+
+Each role lists its flags with -h.
+`
+
+func main() {
+	if len(os.Args) < 2 || os.Args[1] == "-h" || os.Args[1] == "--help" {
+		fmt.Print(help)
+		return
+	}
+	role := os.Args[1]
+	os.Args = append(os.Args[:1], os.Args[2:]...)
+	switch role {
+	case "replica":
+		replica()
+	case "callers":
+		callers()
+	default:
+		fmt.Fprintf(os.Stderr, "no role %q\n%s", role, help)
+		os.Exit(2)
+	}
+}
+
+// ledger appends JSON lines to a file, or to nothing if there is no path.
+func ledger[T any](path string) (add func(T), shut func()) {
+	if path == "" {
+		return func(T) {}, func() {}
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	var mu sync.Mutex
+	lines := bufio.NewWriter(file)
+	return func(line T) {
+		raw, _ := json.Marshal(line) // plain structs always encode
+		mu.Lock()
+		defer mu.Unlock()
+		_, _ = lines.Write(append(raw, '\n'))
+		_ = lines.Flush()
+	}, func() { _ = file.Close() }
+}
+
+func replica() {
+	s := daemon.NewSettings("standin replica", "a model replica or web back end")
+	kind := s.Text("kind", "model", "model or web")
+	weights := s.Text("weights", "w1", "weights loaded at the start")
+	limit := s.Whole("limit", 8, 1, 10000, "requests at a time")
+	rate := s.Whole("rate", 60, 1, 1000000, "bytes of prompt read anew per ms")
+	piece := s.Whole("piece_ms", 10, 0, 10000, "`ms` between two pieces")
+	load := s.Whole("load_ms", 1500, 0, 600000, "`ms` that loading weights takes")
+	warm := s.Whole("warm_ms", 1000, 0, 600000, "`ms` of slowness after a start or load")
+	blocks := s.Whole("blocks", 2000, 1, 1000000, "blocks of prompts kept")
+	file := s.Text("ledger", "", "`file` that the ledger is added to")
+	s.Needed("name", "address")
+	daemon.Main(s, func(ctx context.Context) error {
+		add, shut := ledger[standin.Run](*file)
+		defer shut()
+		r := standin.NewReplica(standin.ReplicaOptions{Name: s.Place.Name, Kind: *kind, Weights: *weights, Limit: *limit, Rate: float64(*rate),
+			PieceMs: *piece, LoadMs: *load, WarmMs: *warm, Blocks: *blocks, Ledger: add})
+		listener, err := s.Place.Net.Listen(s.Place.Address)
+		if err != nil {
+			return err
+		}
+		server := &http.Server{Handler: r.Handler(), ReadHeaderTimeout: 10 * time.Second}
+		go func() { <-ctx.Done(); _ = server.Close() }()
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+}
+
+func callers() {
+	s := daemon.NewSettings("standin callers", "callers of the three kinds and of the web back end")
+	proxies := s.Text("proxies", "", "`ip:port`s of the proxies, with commas")
+	keys := s.Text("keys", "", "tenant=key=weight, with commas")
+	count := s.Whole("count", 500, 1, 1000000, "requests in all")
+	rate := s.Whole("rate", 50, 1, 100000, "requests a second")
+	keyed := s.Whole("keyed", 20, 0, 100, "percent with an idempotency key")
+	repeat := s.Whole("repeat", 10, 0, 100, "percent that may be repeated")
+	seed := s.Whole("seed", 1, 0, 1<<40, "seed of the mix")
+	prefix := s.Text("prefix", "c", "what tags begin with")
+	file := s.Text("ledger", "", "`file` that the ledger is added to")
+	s.Needed("proxies", "keys")
+	daemon.Main(s, func(ctx context.Context) error {
+		ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM)
+		defer stop()
+		add, shut := ledger[standin.Asked](*file)
+		defer shut()
+		var mu sync.Mutex
+		var all []standin.Asked
+		o := standin.LoadOptions{Proxies: strings.Split(*proxies, ","), Count: *count, Rate: float64(*rate), Keyed: float64(*keyed) / 100,
+			Repeat: float64(*repeat) / 100, Seed: uint64(*seed), Prefix: *prefix, Deadline: 60 * time.Second,
+			Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+			Ledger: func(a standin.Asked) {
+				add(a)
+				mu.Lock()
+				defer mu.Unlock()
+				all = append(all, a)
+			}}
+		for _, word := range strings.Split(*keys, ",") {
+			var c standin.Caller
+			parts := strings.Split(word, "=")
+			if len(parts) != 3 {
+				return fmt.Errorf("keys: %q is not tenant=key=weight", word)
+			}
+			c.Tenant, c.Access = parts[0], parts[1]
+			if _, err := fmt.Sscan(parts[2], &c.Weight); err != nil || c.Weight < 1 {
+				return fmt.Errorf("keys: weight of %q", word)
+			}
+			o.Callers = append(o.Callers, c)
+		}
+		standin.Load(ctx, o)
+		fmt.Println(standin.Summary(all))
+		return nil
+	})
+}
--- /dev/null
+++ b/daemon/agent.go
@@ -0,0 +1,463 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/fail"
+	"asterridge/hold"
+	"asterridge/link"
+	"asterridge/register"
+	"asterridge/router"
+)
+
+// The terms of §3.2.
+const (
+	freshTerm     = 1200 * time.Millisecond // T
+	undecidedTerm = 500 * time.Millisecond  // U
+	reportStep    = 300 * time.Millisecond
+	reportLimit   = time.Second
+	reportsTable  = "reports"
+	keptTables    = "kept/"
+)
+
+// Agent keeps the links to the cores and feeds the proxy beside it.
+type Agent struct {
+	place   Place
+	dialect router.Dialect
+	wire    *link.Wire
+	plain   *http.Client
+	source  *link.Source
+	table   *hold.Table
+
+	mu        sync.Mutex
+	members   []blueprint.Member
+	links     map[string]*link.Follower // by core's address
+	applied   map[string]register.Stamp
+	undecided map[string]doubt
+	until     time.Time // current until then, as last worked out
+	why       string
+	proxies   register.Fields
+	replicas  map[string]context.CancelFunc
+	watched   map[string]blueprint.Replica
+}
+
+// doubt is a version seen that may be accepted, and since when it counts.
+type doubt struct {
+	stamp register.Stamp
+	since time.Time
+}
+
+// NewAgent makes an agent.
+func NewAgent(place Place) *Agent {
+	a := &Agent{
+		place: place, dialect: router.ChatDialect{}, wire: link.NewWire(place.Fleet, place.Net),
+		plain: &http.Client{Transport: &http.Transport{DialContext: place.Net.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}},
+		links: map[string]*link.Follower{}, applied: map[string]register.Stamp{}, undecided: map[string]doubt{},
+		why: "no core found yet", proxies: register.Fields{}, replicas: map[string]context.CancelFunc{}, watched: map[string]blueprint.Replica{},
+	}
+	a.source = link.NewSource(a.remaining)
+	a.table = hold.NewTable(func(e hold.Entry) {
+		raw, _ := json.Marshal(e.Notice) // a plain struct always encodes
+		a.source.Put(holdTable, register.Stamp{}, register.Stamp{}, register.Fields{e.Scope: raw}, false)
+	})
+	return a
+}
+
+// Serve runs the agent: local is the loopback side for its proxy, listener the side for the cores.
+func (a *Agent) Serve(ctx context.Context, local, listener net.Listener) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	mux, fleet := http.NewServeMux(), a.place.Fleet
+	mux.Handle("POST /agent/pull", link.Serve(fleet, a.source.Pull))
+	mux.Handle("POST /agent/hold", link.Serve(fleet, a.tellHold))
+	mux.Handle("POST /agent/claim", link.Serve(fleet, a.claim))
+	outer := http.NewServeMux()
+	outer.Handle("POST /agent/query", link.Serve(fleet, a.query))
+	outer.Handle("POST /core/hello", link.Serve(fleet, a.hello))
+	outer.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if a.remaining() <= 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	go every(ctx, helloTime, func() { a.discover(ctx) })
+	go every(ctx, time.Minute, func() { a.table.Prune(time.Hour) })
+	go func() { _ = serve(ctx, listener, outer, time.Second) }()
+	a.place.Log.Info().Str("event", "agent_up").Str("address", a.place.Address).Msg("")
+	return serve(ctx, local, mux, time.Second)
+}
+
+func (a *Agent) hello(context.Context, Hello) (Hello, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Hello{Name: a.place.Name, Role: "agent", Address: a.place.Address, Zone: a.place.Zone, Members: a.members}, nil
+}
+
+// discover asks the seeds for the members until some are known, and links to each member.
+func (a *Agent) discover(ctx context.Context) {
+	a.mu.Lock()
+	known := a.members
+	a.mu.Unlock()
+	if len(known) > 0 {
+		a.connect(ctx, known)
+		return
+	}
+	for _, seed := range a.place.Seeds {
+		short, stop := context.WithTimeout(ctx, time.Second)
+		h, err := link.Call[Hello](short, a.wire, seed, "/core/hello", Hello{})
+		stop()
+		if err == nil && len(h.Members) > 0 {
+			a.connect(ctx, h.Members)
+			return
+		}
+	}
+}
+
+func (a *Agent) connect(ctx context.Context, members []blueprint.Member) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.members = members
+	for _, m := range members {
+		if a.links[m.Address] == nil {
+			f := link.NewFollower(link.FollowerOptions{
+				Wire: a.wire, Address: m.Address, Path: "/core/pull", Wait: pullWait, Ask: a.ask,
+				News:  func(f *link.Follower, answer link.Answer) { a.news(ctx, f, answer) },
+				Fresh: func(*link.Follower, time.Time, time.Duration) { a.digest(ctx) },
+			})
+			a.links[m.Address] = f
+			go f.Run(ctx)
+		}
+	}
+}
+
+func (a *Agent) ask() link.Ask {
+	status := AgentStatus{Address: a.place.Address, Zone: a.place.Zone, IsCurrent: a.remaining() > 0}
+	ask := link.Ask{Name: a.place.Name, Role: "agent"}
+	for _, s := range a.source.Standings(liveTime) {
+		var p router.Status
+		if s.Role == "proxy" && json.Unmarshal(s.Status, &p) == nil {
+			status.Proxy, ask.Applied = &p, s.Applied
+		}
+	}
+	a.mu.Lock()
+	status.Why = a.why
+	a.mu.Unlock()
+	ask.Status, _ = json.Marshal(status) // a plain struct always encodes
+	return ask
+}
+
+// news takes running holds and the proxies' names; registers are looked at in digest.
+func (a *Agent) news(ctx context.Context, f *link.Follower, answer link.Answer) {
+	for _, e := range answer.Entries {
+		if e.Key != holdTable {
+			continue
+		}
+		for scope, raw := range e.Fields {
+			var n hold.Notice
+			if register.IsGone(raw) || json.Unmarshal(raw, &n) != nil {
+				continue
+			}
+			n.Scope, n.RemainingMs = scope, n.RemainingMs-e.AgesMs[scope]
+			a.table.Merge(n, longestHold)
+		}
+	}
+	a.digest(ctx)
+}
+
+// digest applies what is known to be accepted, and works out until when this agent is current (§3.2).
+func (a *Agent) digest(ctx context.Context) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.workOut()
+	partners := register.Fields{}
+	for _, f := range a.links {
+		if time.Since(f.FreshAt()) < freshTerm {
+			for name, raw := range f.Read(proxiesTable).Fields {
+				partners[name] = raw
+			}
+		}
+	}
+	if change := blueprint.Delta(a.proxies, partners); len(change) > 0 && len(partners) > 0 {
+		a.proxies = partners
+		a.source.Put(proxiesTable, register.Stamp{}, register.Stamp{}, change, false)
+	}
+	a.watch(ctx)
+}
+
+// workOut is digest's core; a.mu is held.
+func (a *Agent) workOut() {
+	now := time.Now()
+	majority := len(a.members)/2 + 1
+	if len(a.members) == 0 {
+		return
+	}
+	wasCurrent := now.Before(a.until)
+	var sent []time.Time
+	keys := map[string]bool{}
+	for _, f := range a.links {
+		sent = append(sent, f.FreshAt())
+		for _, key := range f.Keys() {
+			keys[key] = keys[key] || isForAgents(key)
+		}
+	}
+	sort.Slice(sent, func(i, j int) bool { return sent[i].After(sent[j]) })
+	until, why := time.Time{}, "fewer than a majority of cores answer"
+	if len(sent) >= majority && !sent[majority-1].IsZero() {
+		until = sent[majority-1].Add(freshTerm)
+	}
+	if now.Before(until) {
+		why = ""
+	}
+	for key, isWanted := range keys {
+		if !isWanted {
+			continue
+		}
+		if at, isOpen := a.decide(key, majority, now, wasCurrent); isOpen && at.Before(until) {
+			until = at
+			if !now.Before(until) {
+				why = "a change of " + key + " is undecided"
+			}
+		}
+	}
+	if isCurrent := now.Before(until); isCurrent != wasCurrent {
+		a.place.Log.Info().Str("event", "currency").Bool("is_current", isCurrent).Str("why", why).Msg("")
+	}
+	a.until, a.why = until, why
+}
+
+// decide applies the highest accepted version of a key. If a higher one may be accepted too, it gives the end of the grace.
+func (a *Agent) decide(key string, majority int, now time.Time, wasCurrent bool) (end time.Time, isOpen bool) {
+	type seen struct {
+		stamp register.Stamp
+		f     *link.Follower
+	}
+	var all []seen
+	count := map[register.Stamp]int{}
+	settledAt := map[register.Stamp]bool{}
+	for _, f := range a.links {
+		stamp, settled := f.Stamps(key)
+		if stamp == (register.Stamp{}) {
+			continue
+		}
+		all = append(all, seen{stamp, f})
+		count[stamp]++
+		settledAt[stamp] = settledAt[stamp] || register.IsSettled(stamp, settled)
+	}
+	applied := a.applied[key]
+	best, top := applied, applied
+	var from *link.Follower
+	for _, s := range all {
+		if top.Less(s.stamp) {
+			top = s.stamp
+		}
+		if best.Less(s.stamp) && (settledAt[s.stamp] || count[s.stamp] >= majority) {
+			best, from = s.stamp, s.f
+		}
+	}
+	if from != nil {
+		if held := from.Read(key); held.Stamp == best {
+			a.applied[key] = best
+			a.source.Put(key, best, best, held.Fields, true)
+			a.place.Log.Info().Str("event", "applied").Str("key", key).Uint64("epoch", best.Epoch).Uint64("version", best.Version).Msg("")
+			if key == blueprint.MembersKey {
+				a.takeMembers(held.Fields)
+			}
+		}
+	}
+	applied = a.applied[key]
+	if open := a.undecided[key]; !applied.Less(open.stamp) {
+		delete(a.undecided, key)
+	}
+	if !applied.Less(top) {
+		return time.Time{}, false
+	}
+	lacking := 0
+	for _, f := range a.links {
+		if stamp, _ := f.Stamps(key); stamp.Less(top) && now.Sub(f.FreshAt()) < freshTerm {
+			lacking++
+		}
+	}
+	if len(a.members)-lacking < majority {
+		return time.Time{}, false // no majority can hold it
+	}
+	open, isKnown := a.undecided[key]
+	if !isKnown {
+		open = doubt{stamp: top, since: now}
+		if !wasCurrent {
+			open.since = now.Add(-undecidedTerm)
+		}
+		a.undecided[key] = open
+	}
+	return open.since.Add(undecidedTerm), true
+}
+
+// takeMembers follows a change of members; new links are made by the next discover.
+func (a *Agent) takeMembers(fields register.Fields) {
+	byName, err := blueprint.Load[blueprint.Member](fields)
+	if err != nil || len(byName) == 0 {
+		return
+	}
+	a.members = nil
+	for _, m := range byName {
+		a.members = append(a.members, m)
+	}
+}
+
+// remaining is how much longer this agent is current.
+func (a *Agent) remaining() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.workOut()
+	return time.Until(a.until)
+}
+
+// watch has one poller for each replica there is; a.mu is held.
+func (a *Agent) watch(ctx context.Context) {
+	present := map[string]blueprint.Replica{}
+	for _, f := range a.links {
+		if stamp, _ := f.Stamps(blueprint.ReplicasKey); stamp == a.applied[blueprint.ReplicasKey] && stamp != (register.Stamp{}) {
+			present, _ = blueprint.Load[blueprint.Replica](f.Read(blueprint.ReplicasKey).Fields)
+			break
+		}
+	}
+	if len(present) == 0 && len(a.watched) > 0 {
+		return
+	}
+	for name, r := range present {
+		if before, isWatched := a.watched[name]; isWatched && before.Address == r.Address {
+			continue
+		}
+		if stop := a.replicas[name]; stop != nil {
+			stop()
+		}
+		polling, stop := context.WithCancel(ctx)
+		a.replicas[name], a.watched[name] = stop, r
+		go a.poll(polling, r)
+	}
+	for name := range a.watched {
+		if _, isThere := present[name]; !isThere {
+			a.replicas[name]()
+			delete(a.replicas, name)
+			delete(a.watched, name)
+			a.source.Put(reportsTable, register.Stamp{}, register.Stamp{}, register.Fields{name: nil}, false)
+			a.source.Put(keptTables+name, register.Stamp{}, register.Stamp{}, register.Fields{}, true)
+		}
+	}
+}
+
+// reportBody is a replica's report with what it keeps since the number asked from.
+type reportBody struct {
+	router.Report
+	IsImage bool     `json:"image"`
+	Kept    []string `json:"kept,omitempty"`
+	Dropped []string `json:"dropped,omitempty"`
+}
+
+// poll asks a replica for its report and passes on what it keeps.
+func (a *Agent) poll(ctx context.Context, r blueprint.Replica) {
+	var last router.Report
+	step := func() {
+		short, stop := context.WithTimeout(ctx, reportLimit)
+		defer stop()
+		body, err := a.report(short, r, last)
+		if err != nil || ctx.Err() != nil {
+			return
+		}
+		raw, _ := json.Marshal(body.Report) // a plain struct always encodes
+		change := register.Fields{}
+		for _, block := range body.Kept {
+			change[block] = json.RawMessage(`1`)
+		}
+		for _, block := range body.Dropped {
+			change[block] = nil
+		}
+		if len(change) > 0 || body.IsImage {
+			a.source.Put(keptTables+r.Name, register.Stamp{}, register.Stamp{}, change, body.IsImage)
+		}
+		a.source.Put(reportsTable, register.Stamp{}, register.Stamp{}, register.Fields{r.Name: raw}, false)
+		last = body.Report
+	}
+	step()
+	every(ctx, reportStep, step)
+}
+
+func (a *Agent) report(ctx context.Context, r blueprint.Replica, last router.Report) (reportBody, error) {
+	var body reportBody
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Address+a.dialect.ReportPath()+"?run="+last.Run+"&from="+strconv.FormatUint(last.Number, 10), nil)
+	if err != nil {
+		return body, fail.Wrap(err, fail.Settings, "replica address")
+	}
+	answer, err := a.plain.Do(q)
+	if err != nil {
+		return body, fail.Wrap(err, fail.Unreachable, "report")
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return body, fail.New(fail.Unreachable, "report: %s", answer.Status)
+	}
+	return body, fail.Wrap(json.NewDecoder(answer.Body).Decode(&body), fail.Malformed, "report")
+}
+
+// tellHold passes a throttle on to the scope's owner.
+func (a *Agent) tellHold(ctx context.Context, n hold.Notice) (struct{}, error) {
+	a.table.Merge(n, longestHold)
+	return callCores[struct{}](ctx, a, holdPrefix+n.Scope, "/op/hold", n, func(error) bool { return true })
+}
+
+// claim passes a claim on to its group's owner.
+func (a *Agent) claim(ctx context.Context, q router.Claim) (struct{}, error) {
+	o := ClaimOrder{Claim: q}
+	for _, s := range a.source.Standings(proxyTime) {
+		var p router.Status
+		if s.Role == "proxy" && json.Unmarshal(s.Status, &p) == nil {
+			o.Proxy = p.Proxy + "." + p.Run
+		}
+	}
+	return callCores[struct{}](ctx, a, claimGroup(o), "/op/claim", o, func(err error) bool {
+		return fail.Is(err, fail.Unreachable) || fail.Is(err, fail.NoMajority) || fail.Is(err, fail.Undecided) || fail.Is(err, fail.Superseded)
+	})
+}
+
+// callCores asks the core that would own the key, and then the others, while the error is one that another may not have.
+func callCores[A any](ctx context.Context, a *Agent, key, path string, q any, mayPass func(error) bool) (A, error) {
+	a.mu.Lock()
+	byName := map[string]string{}
+	var names []string
+	for _, m := range a.members {
+		if f := a.links[m.Address]; f != nil && time.Since(f.FreshAt()) < liveTime {
+			byName[m.Name] = m.Address
+			names = append(names, m.Name)
+		}
+	}
+	a.mu.Unlock()
+	var answer A
+	err := error(fail.New(fail.Unreachable, "no core answers"))
+	sort.Slice(names, func(i, j int) bool { return register.Weight(key, names[i]) > register.Weight(key, names[j]) })
+	for _, name := range names[:min(2, len(names))] {
+		short, stop := context.WithTimeout(ctx, 2*majorityWait)
+		answer, err = link.Call[A](short, a.wire, byName[name], path, q)
+		stop()
+		if err == nil || !mayPass(err) {
+			return answer, err
+		}
+	}
+	return answer, err
+}
+
+// query passes a core's question on to the proxy.
+func (a *Agent) query(ctx context.Context, q router.Query) ([]router.Row, error) {
+	for _, s := range a.source.Standings(proxyTime) {
+		var p router.Status
+		if s.Role == "proxy" && json.Unmarshal(s.Status, &p) == nil && p.Admin != "" {
+			return link.Call[[]router.Row](ctx, a.wire, p.Admin, "/proxy/query", q)
+		}
+	}
+	return nil, fail.New(fail.Unreachable, "no proxy beside %s", a.place.Name)
+}
--- /dev/null
+++ b/daemon/core.go
@@ -0,0 +1,430 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/disk"
+	"asterridge/fail"
+	"asterridge/hold"
+	"asterridge/link"
+	"asterridge/register"
+	"asterridge/router"
+)
+
+const (
+	liveTime     = time.Second // a core not heard for so long is not drawn as an owner
+	majorityWait = 1500 * time.Millisecond
+	beatTime     = 300 * time.Millisecond
+	proxyTime    = 3 * time.Second
+	longestHold  = 10 * time.Minute
+	pullWait     = 100 * time.Millisecond
+	selfFolder   = "self"
+	incarnFile   = "incarnation"
+	holdPrefix   = "hold/"
+	holdTable    = "hold" // the key of the running holds on links
+	proxiesTable = "proxies"
+)
+
+// Core keeps the control state on its disk.
+type Core struct {
+	place       Place
+	disk        disk.Disk
+	incarnation string
+	wire        *link.Wire
+	keeper      *register.Keeper
+	owner       *register.Owner
+	whole       *link.Source // for the other cores: every key
+	data        *link.Source // for the agents
+	table       *hold.Table
+	members     atomic.Pointer[[]blueprint.Member]
+	self        atomic.Pointer[blueprint.Member]
+
+	mu        sync.Mutex
+	followers map[string]*link.Follower // by member name
+	met       map[string]string         // founding: address → incarnation
+	unsettled map[string]time.Time
+	claims    map[string]time.Time // when this process first saw a claim
+	proxies   register.Fields
+}
+
+// NewCore opens the disk and loads what it has.
+func NewCore(place Place, d disk.Disk) (*Core, error) {
+	c := &Core{
+		place: place, disk: d, wire: link.NewWire(place.Fleet, place.Net), whole: link.NewSource(nil), data: link.NewSource(nil),
+		followers: map[string]*link.Follower{}, met: map[string]string{}, unsettled: map[string]time.Time{}, claims: map[string]time.Time{},
+	}
+	c.table = hold.NewTable(c.holdNews)
+	if err := c.identify(); err != nil {
+		return nil, err
+	}
+	var err error
+	c.keeper, err = register.OpenKeeper(register.KeeperOptions{Disk: d, News: c.keeperNews, Note: func(folder, file string, err error) {
+		place.Log.Warn().Str("event", "file_left_out").Str("folder", folder).Str("file", file).Err(err).Msg("")
+	}})
+	if err != nil {
+		return nil, err
+	}
+	c.owner = register.NewOwner(register.OwnerOptions{
+		ID: func() uint8 { return c.self.Load().ID }, Keeper: c.keeper, Partners: c.partners,
+		Members: func() int { return len(c.memberList()) }, Wait: majorityWait,
+	})
+	for _, key := range c.keeper.Keys() {
+		if scope, isHold := strings.CutPrefix(key, holdPrefix); isHold {
+			c.resumeHold(scope)
+		}
+	}
+	c.learnMembers()
+	return c, nil
+}
+
+// identify reads or makes the disk's incarnation (§2.6).
+func (c *Core) identify() error {
+	raw, err := c.disk.Get(selfFolder, incarnFile)
+	if fail.Is(err, fail.NotFound) {
+		raw = []byte(rand.Text())
+		err = c.disk.Put(selfFolder, incarnFile, raw)
+	}
+	c.incarnation = string(raw)
+	return fail.Wrap(err, fail.DiskFailed, "incarnation")
+}
+
+// keeperNews passes what the disk has accepted on to the links. It is called under the key's lock.
+func (c *Core) keeperNews(key string, at register.Record, change register.Fields, isWhole bool) {
+	c.whole.Put(key, at.Stamp, at.Settled, change, isWhole)
+	if isForAgents(key) {
+		c.data.Put(key, at.Stamp, at.Settled, change, isWhole)
+	}
+	if key == blueprint.MembersKey && at.Stamp != (register.Stamp{}) && c.keeper != nil {
+		go c.learnMembers()
+	}
+}
+
+func isForAgents(key string) bool {
+	return key == blueprint.Key || key == blueprint.ReplicasKey || key == blueprint.MembersKey || strings.HasPrefix(key, blueprint.KeysPrefix)
+}
+
+func (c *Core) holdNews(e hold.Entry) {
+	raw, _ := json.Marshal(e.Notice) // a plain struct always encodes
+	fields := register.Fields{e.Scope: raw}
+	c.whole.Put(holdTable, register.Stamp{}, register.Stamp{}, fields, false)
+	c.data.Put(holdTable, register.Stamp{}, register.Stamp{}, fields, false)
+}
+
+// resumeHold counts what a hold on disk had left from the start again: later, never earlier (§4.2).
+func (c *Core) resumeHold(scope string) {
+	var n hold.Notice
+	if raw := c.keeper.Read(holdPrefix + scope).Fields["hold"]; raw != nil && json.Unmarshal(raw, &n) == nil {
+		c.table.Merge(n, longestHold)
+	}
+}
+
+// learnMembers takes the members from the register.
+func (c *Core) learnMembers() {
+	record := c.keeper.Read(blueprint.MembersKey)
+	byName, err := blueprint.Load[blueprint.Member](record.Fields)
+	if err != nil || len(byName) == 0 {
+		return
+	}
+	var all []blueprint.Member
+	var self *blueprint.Member
+	for _, m := range byName {
+		all = append(all, m)
+		if m.Incarnation == c.incarnation {
+			self = &m
+		}
+	}
+	c.self.Store(self)
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	c.members.Store(&all)
+}
+
+func (c *Core) memberList() []blueprint.Member {
+	if all := c.members.Load(); all != nil {
+		return *all
+	}
+	return nil
+}
+
+// Serve runs the core until the context ends.
+func (c *Core) Serve(ctx context.Context, listener net.Listener) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go c.found(ctx)
+	go every(ctx, beatTime, func() { c.beat(ctx) })
+	c.place.Log.Info().Str("event", "core_up").Str("address", c.place.Address).Str("incarnation", c.incarnation).Msg("")
+	return serve(ctx, listener, c.handler(), time.Second)
+}
+
+func (c *Core) handler() http.Handler {
+	mux, fleet := http.NewServeMux(), c.place.Fleet
+	mux.Handle("POST /core/hello", link.Serve(fleet, c.hello))
+	mux.Handle("POST /core/pull", link.Serve(fleet, c.data.Pull))
+	mux.Handle("POST /core/whole", link.Serve(fleet, c.whole.Pull))
+	mux.Handle("POST /register/promise", link.Serve(fleet, c.promise))
+	mux.Handle("POST /register/accept", link.Serve(fleet, c.accept))
+	mux.Handle("POST /register/settle", link.Serve(fleet, c.settle))
+	mux.Handle("POST /query", link.Serve(fleet, c.Query))
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if c.self.Load() == nil || len(c.live()) < len(c.memberList())/2+1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	op(mux, c, "blueprint", func(BlueprintOrder) string { return blueprint.Key }, c.orderBlueprint, false)
+	op(mux, c, "keys", func(o KeyOrder) string { return blueprint.KeysPrefix + o.Tenant }, c.orderKey, true)
+	op(mux, c, "replicas", func(ReplicasOrder) string { return blueprint.ReplicasKey }, c.orderReplicas, true)
+	op(mux, c, "claim", func(o ClaimOrder) string { return claimGroup(o) }, c.orderClaim, true)
+	op(mux, c, "hold", func(n hold.Notice) string { return holdPrefix + n.Scope }, c.orderHold, true)
+	op(mux, c, "settle", func(o SettleOrder) string { return o.Key }, c.orderSettle, true)
+	return mux
+}
+
+// op serves a change at /op/NAME, where any core takes it to the key's owner, and at /own/NAME, where this core does it itself.
+func op[Q, A any](mux *http.ServeMux, c *Core, name string, keyOf func(Q) string, do func(context.Context, Q) (A, error), isIdempotent bool) {
+	mux.Handle("POST /own/"+name, link.Serve(c.place.Fleet, do))
+	mux.Handle("POST /op/"+name, link.Serve(c.place.Fleet, func(ctx context.Context, q Q) (A, error) {
+		var none A
+		if c.self.Load() == nil {
+			return none, fail.New(fail.NoMember, "%s is no member", c.place.Name)
+		}
+		owner := register.Draw(keyOf(q), c.live())
+		if owner == c.place.Name {
+			return do(ctx, q)
+		}
+		short, stop := context.WithTimeout(ctx, 2*majorityWait)
+		defer stop()
+		answer, err := link.Call[A](short, c.wire, c.addressOf(owner), "/own/"+name, q)
+		var dial *net.OpError
+		if fail.Is(err, fail.Unreachable) {
+			if isIdempotent || errors.As(err, &dial) && dial.Op == "dial" {
+				return do(ctx, q)
+			}
+			return none, fail.New(fail.Undecided, "the owner %s did not answer: %v", owner, err)
+		}
+		return answer, err
+	}))
+}
+
+func (c *Core) addressOf(name string) string {
+	for _, m := range c.memberList() {
+		if m.Name == name {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// live names the members heard lately, this one included.
+func (c *Core) live() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var names []string
+	for _, m := range c.memberList() {
+		f := c.followers[m.Name]
+		if m.Incarnation == c.incarnation || f != nil && time.Since(f.FreshAt()) < liveTime {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// beat looks after links, catching up, unsettled keys, claims and the list of proxies.
+func (c *Core) beat(ctx context.Context) {
+	if c.self.Load() == nil {
+		return
+	}
+	c.mu.Lock()
+	for _, m := range c.memberList() {
+		if m.Incarnation != c.incarnation && c.followers[m.Name] == nil {
+			f := link.NewFollower(link.FollowerOptions{
+				Wire: c.wire, Address: m.Address, Path: "/core/whole", Wait: pullWait, News: c.partnerNews,
+				Ask: func() link.Ask { return link.Ask{Name: c.place.Name, Role: "core"} },
+			})
+			c.followers[m.Name] = f
+			go f.Run(ctx)
+		}
+	}
+	partners := make([]*link.Follower, 0, len(c.followers))
+	for _, f := range c.followers {
+		partners = append(partners, f)
+	}
+	c.mu.Unlock()
+	for _, f := range partners {
+		c.catchUp(f)
+	}
+	c.settleLate(ctx)
+	c.listProxies()
+	c.table.Prune(time.Hour)
+}
+
+// partnerNews takes running holds from another core.
+func (c *Core) partnerNews(_ *link.Follower, answer link.Answer) {
+	for _, e := range answer.Entries {
+		if e.Key != holdTable {
+			continue
+		}
+		for scope, raw := range e.Fields {
+			var n hold.Notice
+			if register.IsGone(raw) || json.Unmarshal(raw, &n) != nil {
+				continue
+			}
+			n.Scope, n.RemainingMs = scope, n.RemainingMs-e.AgesMs[scope]
+			c.table.Merge(n, longestHold)
+		}
+	}
+}
+
+// catchUp adopts settled content that this disk lacks (§2.4).
+func (c *Core) catchUp(f *link.Follower) {
+	for _, key := range f.Keys() {
+		stamp, settled := f.Stamps(key)
+		if key == holdTable || !register.IsSettled(stamp, settled) || !c.keeper.Stamp(key).Less(stamp) {
+			continue
+		}
+		held := f.Read(key)
+		if !register.IsSettled(held.Stamp, held.Settled) {
+			continue
+		}
+		if err := c.keeper.Adopt(key, held.Stamp, held.Fields); err != nil {
+			c.place.Log.Error().Str("event", "catch_up_failed").Str("key", key).Err(err).Msg("")
+			return
+		}
+		c.place.Log.Info().Str("event", "caught_up").Str("key", key).Uint64("version", held.Stamp.Version).Msg("")
+	}
+}
+
+// settleLate asks the owner to settle keys that stay undecided here (§2.3).
+func (c *Core) settleLate(ctx context.Context) {
+	for _, key := range c.keeper.Keys() {
+		isLate := false
+		c.mu.Lock()
+		if !c.keeper.Unsettled(key) {
+			delete(c.unsettled, key)
+		} else if since, isKnown := c.unsettled[key]; !isKnown {
+			c.unsettled[key] = time.Now()
+		} else {
+			isLate = time.Since(since) >= beatTime
+		}
+		c.mu.Unlock()
+		if isLate {
+			owner := register.Draw(key, c.live())
+			go func() {
+				short, stop := context.WithTimeout(ctx, majorityWait)
+				defer stop()
+				_, _ = link.Call[SettleAnswer](short, c.wire, c.addressOf(owner), "/own/settle", SettleOrder{key})
+			}()
+		}
+	}
+}
+
+// listProxies tells the agents which proxies share the replicas (§5.3).
+func (c *Core) listProxies() {
+	fields := register.Fields{}
+	for _, s := range c.data.Standings(proxyTime) {
+		var status AgentStatus
+		if s.Role == "agent" && json.Unmarshal(s.Status, &status) == nil && status.Proxy != nil && !status.Proxy.IsStop {
+			fields[status.Proxy.Proxy] = json.RawMessage(`true`)
+		}
+	}
+	change := blueprint.Delta(c.proxies, fields)
+	if len(change) > 0 {
+		c.proxies = fields
+		c.data.Put(proxiesTable, register.Stamp{}, register.Stamp{}, change, false)
+	}
+}
+
+// AgentStatus is what an agent tells the cores of itself and its proxy.
+type AgentStatus struct {
+	Address   string         `json:"address"`
+	Zone      string         `json:"zone"`
+	IsCurrent bool           `json:"current"`
+	Why       string         `json:"why,omitempty"`
+	Proxy     *router.Status `json:"proxy,omitempty"`
+}
+
+// partner is another core as the owner sees it.
+type partner struct {
+	core    *Core
+	address string
+}
+
+// RegisterMessage is what a core asks of another's keeper; From is the asker's incarnation.
+type RegisterMessage struct {
+	From   string           `json:"from"`
+	Key    string           `json:"key,omitempty"`
+	Epoch  uint64           `json:"epoch,omitempty"`
+	Has    register.Stamp   `json:"has"`
+	Change *register.Change `json:"change,omitempty"`
+}
+
+func (p partner) Promise(ctx context.Context, key string, epoch uint64, has register.Stamp) (register.Record, error) {
+	return link.Call[register.Record](ctx, p.core.wire, p.address, "/register/promise", RegisterMessage{From: p.core.incarnation, Key: key, Epoch: epoch, Has: has})
+}
+
+func (p partner) Accept(ctx context.Context, change register.Change) error {
+	_, err := link.Call[struct{}](ctx, p.core.wire, p.address, "/register/accept", RegisterMessage{From: p.core.incarnation, Change: &change})
+	return err
+}
+
+func (p partner) Settle(ctx context.Context, key string, stamp register.Stamp) {
+	_, _ = link.Call[struct{}](ctx, p.core.wire, p.address, "/register/settle", RegisterMessage{From: p.core.incarnation, Key: key, Has: stamp})
+}
+
+func (c *Core) partners() []register.Partner {
+	var all []register.Partner
+	for _, m := range c.memberList() {
+		if m.Incarnation != c.incarnation {
+			all = append(all, partner{c, m.Address})
+		}
+	}
+	return all
+}
+
+// isPartner refuses register messages unless both ends are members.
+func (c *Core) isPartner(m RegisterMessage) error {
+	if c.self.Load() == nil {
+		return fail.New(fail.NoMember, "%s is no member", c.place.Name)
+	}
+	for _, member := range c.memberList() {
+		if member.Incarnation == m.From {
+			return nil
+		}
+	}
+	c.place.Log.Warn().Str("event", "stranger").Str("from", m.From).Msg("")
+	return fail.New(fail.NoMember, "the asker is no member")
+}
+
+func (c *Core) promise(_ context.Context, m RegisterMessage) (register.Record, error) {
+	if err := c.isPartner(m); err != nil {
+		return register.Record{}, err
+	}
+	return c.keeper.Promise(m.Key, m.Epoch, m.Has)
+}
+
+func (c *Core) accept(_ context.Context, m RegisterMessage) (struct{}, error) {
+	if err := c.isPartner(m); err != nil {
+		return struct{}{}, err
+	}
+	if m.Change == nil || m.Change.Key == "" {
+		return struct{}{}, fail.New(fail.Malformed, "no change")
+	}
+	return struct{}{}, c.keeper.Accept(*m.Change)
+}
+
+func (c *Core) settle(_ context.Context, m RegisterMessage) (struct{}, error) {
+	if err := c.isPartner(m); err != nil {
+		return struct{}{}, err
+	}
+	c.keeper.Settle(m.Key, m.Has)
+	return struct{}{}, nil
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,57 @@
+// Package daemon assembles the core, the agent and the proxy, so that the programs and the simulator run the same code
+// (docs/design.md §1.2).
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"asterridge/link"
+)
+
+// Place is where a daemon stands, and whom it asks first.
+type Place struct {
+	Name    string
+	Fleet   string
+	Zone    string
+	Address string
+	Seeds   []string
+	Net     link.Net
+	Log     zerolog.Logger
+}
+
+// serve answers on a listener until the context ends; then it lets running answers finish for the grace.
+func serve(ctx context.Context, listener net.Listener, handler http.Handler, grace time.Duration) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	last, stop := context.WithTimeout(context.Background(), grace)
+	defer stop()
+	if server.Shutdown(last) != nil {
+		_ = server.Close()
+	}
+	return nil
+}
+
+// every does a thing again and again until the context ends.
+func every(ctx context.Context, step time.Duration, do func()) {
+	beat := time.NewTicker(step)
+	defer beat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-beat.C:
+			do()
+		}
+	}
+}
--- /dev/null
+++ b/daemon/orders.go
@@ -0,0 +1,367 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/fail"
+	"asterridge/hold"
+	"asterridge/link"
+	"asterridge/register"
+	"asterridge/router"
+)
+
+// BlueprintOrder is a whole or partial blueprint from an operator.
+type BlueprintOrder struct {
+	Text      json.RawMessage `json:"text"`
+	IsPartial bool            `json:"partial"`
+	Expect    *uint64         `json:"expect,omitempty"` // the version that the operator saw
+	IsFresh   bool            `json:"fresh,omitempty"`  // the things named must not exist yet
+}
+
+// Accepted is the answer to a change that a majority has.
+type Accepted struct {
+	Version uint64 `json:"version"`
+}
+
+func (c *Core) orderBlueprint(ctx context.Context, o BlueprintOrder) (Accepted, error) {
+	stamp, err := c.owner.Change(ctx, blueprint.Key, func(now register.Fields, version uint64) (register.Fields, error) {
+		if o.Expect != nil && *o.Expect != version {
+			return nil, fail.New(fail.Conflict, "expected version %d, present is %d", *o.Expect, version)
+		}
+		base, err := blueprint.FromFields(now)
+		if err != nil {
+			return nil, err
+		}
+		made, err := blueprint.Read(o.Text, base, o.IsPartial)
+		if err != nil {
+			return nil, err
+		}
+		fields := made.Fields()
+		if o.IsFresh && len(fields) == len(now) {
+			return nil, fail.New(fail.Exists, "a thing of this name is there already")
+		}
+		return blueprint.Delta(now, fields), nil
+	})
+	c.note("blueprint", blueprint.Key, stamp, err)
+	return Accepted{stamp.Version}, err
+}
+
+func (c *Core) note(event, key string, stamp register.Stamp, err error) {
+	if err != nil {
+		c.place.Log.Warn().Str("event", event+"_bounced").Str("key", key).Err(err).Msg("")
+		return
+	}
+	c.place.Log.Info().Str("event", event+"_accepted").Str("key", key).Uint64("epoch", stamp.Epoch).Uint64("version", stamp.Version).Msg("")
+}
+
+// KeyOrder adds or revokes an access key; only its hash travels.
+type KeyOrder struct {
+	Tenant    string `json:"tenant"`
+	Hash      string `json:"hash"`
+	IsRevoked bool   `json:"revoked"`
+}
+
+func (c *Core) orderKey(ctx context.Context, o KeyOrder) (Accepted, error) {
+	if o.Tenant == "" || len(o.Hash) != 32 {
+		return Accepted{}, fail.New(fail.Missing, "a key order needs a tenant and a key's hash of 32 hex digits")
+	}
+	key := blueprint.KeysPrefix + o.Tenant
+	stamp, err := c.owner.Change(ctx, key, func(now register.Fields, _ uint64) (register.Fields, error) {
+		if o.IsRevoked && now[o.Hash] == nil {
+			return nil, fail.New(fail.NotFound, "tenant %s has no such key", o.Tenant)
+		}
+		change := blueprint.Field(o.Hash, blueprint.Access{IsRevoked: o.IsRevoked})
+		if !o.IsRevoked && now[o.Hash] != nil && string(now[o.Hash]) != string(change[o.Hash]) {
+			return nil, fail.New(fail.Conflict, "the key was revoked: it does not come back")
+		}
+		return change, nil
+	})
+	c.note("key", key, stamp, err)
+	return Accepted{stamp.Version}, err
+}
+
+// ReplicasOrder is the platform's news; the text is read field by field.
+type ReplicasOrder struct {
+	Text json.RawMessage `json:"text"`
+}
+
+func (c *Core) orderReplicas(ctx context.Context, o ReplicasOrder) (Accepted, error) {
+	told, err := blueprint.ReadReplicas(o.Text)
+	if err != nil {
+		return Accepted{}, err
+	}
+	stamp, err := c.owner.Change(ctx, blueprint.ReplicasKey, func(now register.Fields, _ uint64) (register.Fields, error) {
+		change := register.Fields{}
+		for _, r := range told {
+			if r.State == "gone" {
+				change[r.Name] = nil
+				continue
+			}
+			if r.State == "leaving" && r.Address == "" {
+				var before blueprint.Replica
+				if now[r.Name] == nil || json.Unmarshal(now[r.Name], &before) != nil {
+					return nil, fail.New(fail.NotFound, "no replica %q", r.Name)
+				}
+				before.State, r = "leaving", before
+			}
+			change[r.Name] = blueprint.Field(r.Name, r)[r.Name]
+		}
+		return change, nil
+	})
+	c.note("replicas", blueprint.ReplicasKey, stamp, err)
+	return Accepted{stamp.Version}, err
+}
+
+// ClaimOrder is a proxy's claim with what tells whether the proxy still runs.
+type ClaimOrder struct {
+	router.Claim
+	Proxy string `json:"proxy"`
+}
+
+// kept is a claim on disk.
+type kept struct {
+	Nonce string `json:"nonce"`
+	State string `json:"state"`
+	Proxy string `json:"proxy"`
+}
+
+const (
+	claimGroups = 64
+	claimAge    = time.Hour
+)
+
+func claimField(o ClaimOrder) string { return blueprint.HashKey(o.Tenant + "\x00" + o.Key) }
+
+func claimGroup(o ClaimOrder) string {
+	return fmt.Sprintf("claims/%02d", register.Weight(claimField(o), "")%claimGroups)
+}
+
+// orderClaim takes, settles or gives back a caller's key (§5.5).
+func (c *Core) orderClaim(ctx context.Context, o ClaimOrder) (struct{}, error) {
+	field := claimField(o)
+	_, err := c.owner.Change(ctx, claimGroup(o), func(now register.Fields, _ uint64) (register.Fields, error) {
+		var before kept
+		isThere := now[field] != nil && json.Unmarshal(now[field], &before) == nil
+		isOurs := isThere && before.Nonce == o.Nonce
+		if o.State == "running" {
+			switch {
+			case !isThere, isOurs:
+				return blueprint.Field(field, kept{o.Nonce, o.State, o.Proxy}), nil
+			case before.State == "ran":
+				return nil, fail.New(fail.KeyRan, "an earlier request with this key ran")
+			case before.State == "running" && c.isRunning(before.Proxy):
+				return nil, fail.New(fail.InProgress, "another request with this key is in progress")
+			}
+			return nil, fail.New(fail.KeyUnknown, "an earlier request with this key has an unknown outcome")
+		}
+		if !isOurs {
+			return nil, nil
+		}
+		if o.State == "free" {
+			return register.Fields{field: nil}, nil
+		}
+		return blueprint.Field(field, kept{o.Nonce, o.State, o.Proxy}), nil
+	})
+	return struct{}{}, err
+}
+
+// isRunning says whether a proxy was heard of lately.
+func (c *Core) isRunning(proxy string) bool {
+	for _, s := range c.data.Standings(proxyTime) {
+		var status AgentStatus
+		if json.Unmarshal(s.Status, &status) == nil && status.Proxy != nil && status.Proxy.Proxy+"."+status.Proxy.Run == proxy {
+			return true
+		}
+	}
+	return false
+}
+
+// pruneClaims drops claims that this process has known for longer than the age.
+func (c *Core) pruneClaims(ctx context.Context) {
+	for key := range c.owner.Owns() {
+		if len(key) < 7 || key[:7] != "claims/" {
+			continue
+		}
+		gone := register.Fields{}
+		fields := c.keeper.Read(key).Fields
+		c.mu.Lock()
+		for field := range fields {
+			if since, isKnown := c.claims[field]; !isKnown {
+				c.claims[field] = time.Now()
+			} else if time.Since(since) > claimAge {
+				gone[field] = nil
+				delete(c.claims, field)
+			}
+		}
+		c.mu.Unlock()
+		if len(gone) > 0 {
+			_, _ = c.owner.Change(ctx, key, func(register.Fields, uint64) (register.Fields, error) { return gone, nil })
+		}
+	}
+}
+
+// orderHold merges a proxy's throttle, tells all agents by doing so, and keeps it on a majority (§4.2).
+func (c *Core) orderHold(ctx context.Context, n hold.Notice) (struct{}, error) {
+	if n.Scope == "" || n.Mark == "" {
+		return struct{}{}, fail.New(fail.Missing, "a hold needs a scope and a mark")
+	}
+	if !c.table.Merge(n, longestHold) || n.IsObserved {
+		return struct{}{}, nil
+	}
+	c.place.Log.Info().Str("event", "hold").Str("scope", n.Scope).Str("mark", n.Mark).Int64("remaining_ms", n.RemainingMs).Str("reason", n.Reason).Msg("")
+	go func() {
+		ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), 2*majorityWait)
+		defer stop()
+		stamp, err := c.owner.Change(ctx, holdPrefix+n.Scope, func(register.Fields, uint64) (register.Fields, error) {
+			return blueprint.Field("hold", n), nil
+		})
+		if err != nil {
+			c.note("hold", holdPrefix+n.Scope, stamp, err)
+		}
+	}()
+	return struct{}{}, nil
+}
+
+// SettleOrder asks the owner to settle a key.
+type SettleOrder struct {
+	Key string `json:"key"`
+}
+
+// SettleAnswer has the settled stamp.
+type SettleAnswer struct {
+	Stamp register.Stamp `json:"stamp"`
+}
+
+func (c *Core) orderSettle(ctx context.Context, o SettleOrder) (SettleAnswer, error) {
+	stamp, err := c.owner.Change(ctx, o.Key, nil)
+	return SettleAnswer{stamp}, err
+}
+
+// Query asks for rows; where keeps those whose field has the value.
+type Query struct {
+	What  string      `json:"what"`
+	Name  string      `json:"name,omitempty"`
+	Where []Condition `json:"where,omitempty"`
+}
+
+// Condition compares one field.
+type Condition struct {
+	Field string `json:"field"`
+	Is    string `json:"is"` // "=", "!=", "<", ">"
+	Value string `json:"value"`
+}
+
+// QueryAnswer has the rows, and which daemons did not answer.
+type QueryAnswer struct {
+	Rows   []router.Row `json:"rows"`
+	Silent []string     `json:"silent,omitempty"`
+}
+
+// Query answers from this core's own state, or asks all proxies through their agents.
+func (c *Core) Query(ctx context.Context, q Query) (QueryAnswer, error) {
+	var a QueryAnswer
+	standings := c.data.Standings(proxyTime)
+	switch q.What {
+	case "holds":
+		for _, n := range c.table.All() {
+			a.Rows = append(a.Rows, router.Row{"scope": n.Scope, "remaining_ms": n.RemainingMs, "reason": n.Reason, "shot": n.Shot,
+				"raw": n.Raw, "mark": n.Mark, "observed": n.IsObserved, "owner": register.Draw(holdPrefix+n.Scope, c.live())})
+		}
+	case "acks":
+		version := c.keeper.Stamp(blueprint.Key)
+		for _, s := range standings {
+			var status AgentStatus
+			_ = json.Unmarshal(s.Status, &status)
+			row := router.Row{"agent": s.Name, "behind": s.Behind, "age_ms": s.AgeMs, "current": status.IsCurrent, "why": status.Why,
+				"blueprint": s.Applied[blueprint.Key].Version, "has_newest": s.Applied[blueprint.Key] == version, "proxy": ""}
+			if status.Proxy != nil {
+				row["proxy"] = status.Proxy.Proxy
+			}
+			a.Rows = append(a.Rows, row)
+		}
+	case "members":
+		live := map[string]bool{}
+		for _, name := range c.live() {
+			live[name] = true
+		}
+		for _, m := range c.memberList() {
+			a.Rows = append(a.Rows, router.Row{"id": m.ID, "name": m.Name, "address": m.Address, "zone": m.Zone, "live": live[m.Name]})
+		}
+	case "owners":
+		for _, key := range c.keeper.Keys() {
+			r := c.keeper.Read(key)
+			a.Rows = append(a.Rows, router.Row{"key": key, "owner": register.Draw(key, c.live()), "epoch": r.Stamp.Epoch,
+				"version": r.Stamp.Version, "settled": r.IsSettled(), "fields": len(r.Fields)})
+		}
+	case "tenants", "pools", "paths", "hold":
+		record := c.keeper.Read(blueprint.Key)
+		kinds := map[string]string{"tenants": "tenant/", "pools": "pool/", "paths": "path/", "hold": "hold"}
+		for name, raw := range record.Fields {
+			if len(name) >= len(kinds[q.What]) && name[:len(kinds[q.What])] == kinds[q.What] {
+				row := router.Row{}
+				_ = json.Unmarshal(raw, &row)
+				row["version"] = record.Stamp.Version
+				a.Rows = append(a.Rows, row)
+			}
+		}
+	case "backlog", "replicas", "requests", "counts", "proxyholds":
+		ask := router.Query{What: q.What, Name: q.Name}
+		if q.What == "proxyholds" {
+			ask.What = "holds"
+		}
+		for _, s := range standings {
+			var status AgentStatus
+			if json.Unmarshal(s.Status, &status) != nil {
+				continue
+			}
+			short, stop := context.WithTimeout(ctx, 2*time.Second)
+			rows, err := link.Call[[]router.Row](short, c.wire, status.Address, "/agent/query", ask)
+			stop()
+			if err != nil {
+				a.Silent = append(a.Silent, s.Name)
+				continue
+			}
+			a.Rows = append(a.Rows, rows...)
+		}
+	default:
+		return a, fail.New(fail.NotFound, "no query %q", q.What)
+	}
+	a.Rows = filter(a.Rows, q.Where)
+	return a, nil
+}
+
+func filter(rows []router.Row, where []Condition) []router.Row {
+	kept := []router.Row{}
+	for _, row := range rows {
+		isFit := true
+		for _, w := range where {
+			isFit = isFit && w.fits(row)
+		}
+		if isFit {
+			kept = append(kept, row)
+		}
+	}
+	return kept
+}
+
+func (w Condition) fits(row router.Row) bool {
+	has := fmt.Sprint(row[w.Field])
+	switch w.Is {
+	case "=":
+		return has == w.Value
+	case "!=":
+		return has != w.Value
+	}
+	var a, b float64
+	if _, err := fmt.Sscan(has, &a); err != nil {
+		return false
+	}
+	if _, err := fmt.Sscan(w.Value, &b); err != nil {
+		return false
+	}
+	return w.Is == "<" && a < b || w.Is == ">" && a > b
+}
--- /dev/null
+++ b/daemon/proxy.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"asterridge/router"
+)
+
+// Proxy is the thin daemon over the router library.
+type Proxy struct {
+	Router *router.Router
+	place  Place
+	grace  time.Duration
+}
+
+// ProxyOptions of a proxy.
+type ProxyOptions struct {
+	Agent string // the agent's loopback address
+	Admin string // where the agent reaches this proxy's queries
+	Grace time.Duration
+	Seed  uint64
+}
+
+// NewProxy makes a proxy.
+func NewProxy(place Place, options ProxyOptions) *Proxy {
+	return &Proxy{place: place, grace: options.Grace, Router: router.New(router.Options{
+		Name: place.Name, Zone: place.Zone, Fleet: place.Fleet, Agent: options.Agent, Admin: options.Admin,
+		Net: place.Net, Log: place.Log, Seed: options.Seed,
+	})}
+}
+
+// Serve runs the proxy until the context ends: then it is unready, bounces what waits, and lets streams finish for the grace.
+func (p *Proxy) Serve(ctx context.Context, callers, admin net.Listener) error {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go p.Router.Run(running)
+	go func() { _ = serve(running, admin, p.Router.Admin(), time.Second) }()
+	server := &http.Server{Handler: p.Router.Handler(), ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 2 * time.Minute,
+		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(callers) }()
+	p.place.Log.Info().Str("event", "proxy_up").Str("address", p.place.Address).Msg("")
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	last, end := context.WithTimeout(running, p.grace)
+	defer end()
+	p.Router.Stop(last)
+	if server.Shutdown(last) != nil {
+		_ = server.Close()
+	}
+	p.place.Log.Info().Str("event", "proxy_down").Msg("")
+	return nil
+}
--- /dev/null
+++ b/fail/fail.go
@@ -0,0 +1,195 @@
+// Package fail names and numbers every error of the fleet (docs/codes.md).
+package fail
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Ran says what is known of a request when an error ends it.
+type Ran string
+
+const (
+	NotRun  Ran = "no"
+	DidRun  Ran = "yes"
+	Unknown Ran = "unknown"
+)
+
+// Code is one row of the table of result codes.
+type Code struct {
+	Number int
+	Name   string
+	Status int
+	Ran    Ran
+	Text   string
+}
+
+var table = map[int]Code{}
+
+func code(number int, name string, status int, ran Ran, text string) Code {
+	c := Code{Number: number, Name: name, Status: status, Ran: ran, Text: text}
+	table[number] = c
+	return c
+}
+
+// The codes. Numbers are never given a second meaning.
+var (
+	Malformed    = code(100, "malformed", 400, NotRun, "not well-formed JSON or HTTP")
+	UnknownField = code(101, "unknown_field", 400, NotRun, "a field that does not exist here")
+	RepeatField  = code(102, "repeated_field", 400, NotRun, "a field or name given twice")
+	WrongType    = code(103, "wrong_type", 400, NotRun, "a value of the wrong type")
+	Dangling     = code(104, "dangling_reference", 400, NotRun, "a name that is not declared")
+	OutOfRange   = code(105, "out_of_range", 400, NotRun, "a figure outside its range")
+	Oversize     = code(106, "oversize", 413, NotRun, "more bytes than allowed")
+	Missing      = code(107, "missing_field", 400, NotRun, "a needed field is missing")
+
+	BadKey        = code(200, "bad_key", 401, NotRun, "unknown or revoked access key")
+	NoPath        = code(201, "no_path", 404, NotRun, "no path serves this address or model")
+	Held          = code(210, "held", 429, NotRun, "the tenant is held for longer than the request may wait")
+	BacklogFull   = code(211, "backlog_full", 429, NotRun, "the tenant's backlog is full")
+	Stale         = code(212, "stale", 503, NotRun, "the request's deadline came before its turn")
+	NoReplica     = code(213, "no_replica", 503, NotRun, "no replica may serve this now")
+	NotCurrent    = code(214, "not_current", 503, NotRun, "this proxy cannot prove that its configuration is current")
+	SpentShots    = code(215, "spent_shots", 503, NotRun, "refused, and no second shot is left in the budget")
+	Stopping      = code(216, "stopping", 503, NotRun, "this proxy is stopping")
+	ReplicaSaid   = code(217, "replica_refused", 502, NotRun, "the replica refused the request as not run")
+	OutcomeLost   = code(220, "outcome_unknown", 502, Unknown, "sent, and no whole answer came back")
+	StreamCut     = code(221, "stream_cut", 502, Unknown, "the replica's answer broke off; the connection is aborted")
+	InProgress    = code(222, "key_in_progress", 409, NotRun, "another request with this key is in progress; this one was not run")
+	KeyUnknown    = code(223, "key_outcome_unknown", 409, NotRun, "an earlier request with this key has an unknown outcome; this one was not run")
+	KeyRan        = code(224, "key_ran", 409, NotRun, "an earlier request with this key ran; this one was not run")
+	NoClaim       = code(225, "no_claim", 503, NotRun, "the key could not be claimed on a majority of disks")
+	ForeignAnswer = code(226, "foreign_answer", 502, Unknown, "the answer bears another request's id")
+	CallerGone    = code(227, "caller_gone", 499, NotRun, "the caller left while waiting")
+
+	Conflict    = code(300, "conflict", 409, NotRun, "the expected version is not the present one")
+	NoMajority  = code(301, "no_majority", 503, NotRun, "no majority of cores answered; nothing was changed")
+	Undecided   = code(302, "undecided", 504, Unknown, "the change may or may not stand; ask again")
+	DiskFailed  = code(303, "disk_failed", 507, NotRun, "this core's disk failed or is full")
+	Superseded  = code(304, "superseded", 409, NotRun, "a higher epoch was promised")
+	NoMember    = code(305, "not_a_member", 403, NotRun, "this core is no member")
+	WrongFleet  = code(306, "wrong_fleet", 403, NotRun, "a message from another fleet")
+	NotFound    = code(307, "not_found", 404, NotRun, "no such thing")
+	Behind      = code(308, "behind", 409, NotRun, "this keeper lacks the base of the change")
+	Exists      = code(309, "exists", 409, NotRun, "a thing of this name is there already")
+	Unreachable = code(310, "unreachable", 503, Unknown, "the other daemon did not answer")
+	NotFounded  = code(311, "not_founded", 503, NotRun, "the fleet is not founded yet")
+	Torn        = code(312, "torn_file", 500, NotRun, "a file is torn or foreign")
+
+	Syntax   = code(400, "syntax", 400, NotRun, "the command cannot be read")
+	Settings = code(401, "bad_settings", 400, NotRun, "a setting or flag is wrong")
+	Internal = code(500, "internal", 500, Unknown, "a fault of this program")
+)
+
+// Codes gives the whole table in order of number.
+func Codes() []Code {
+	all := make([]Code, 0, len(table))
+	for _, c := range table {
+		all = append(all, c)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Number < all[j].Number })
+	return all
+}
+
+// Failure is an error with its code.
+type Failure struct {
+	Code  Code
+	Field string        // path of the field at fault, if any
+	At    int           // its position in the input, from 1; 0 if none
+	Again time.Duration // when to come back, if known
+	err   error
+}
+
+func (f *Failure) Error() string {
+	text := fmt.Sprintf("%d %s", f.Code.Number, f.Code.Name)
+	if f.Field != "" {
+		text += " at " + f.Field
+	}
+	if f.At > 0 {
+		text += fmt.Sprintf(" (byte %d)", f.At)
+	}
+	if f.err != nil {
+		text += ": " + f.err.Error()
+	}
+	return text
+}
+
+func (f *Failure) Unwrap() error { return f.err }
+
+// StatusCode lets go-kit's transports answer with the code's status.
+func (f *Failure) StatusCode() int { return f.Code.Status }
+
+// New makes an error with a code.
+func New(c Code, format string, args ...any) *Failure {
+	return &Failure{Code: c, err: oops.Code(c.Name).Errorf(format, args...)}
+}
+
+// Wrap names an error; one that has a code already keeps it.
+func Wrap(err error, c Code, what string) error {
+	if err == nil {
+		return nil
+	}
+	var inner *Failure
+	if errors.As(err, &inner) {
+		wrapped := *inner
+		wrapped.err = oops.Code(inner.Code.Name).Wrapf(inner.err, "%s", what)
+		return &wrapped
+	}
+	return &Failure{Code: c, err: oops.Code(c.Name).Wrapf(err, "%s", what)}
+}
+
+// Of finds the failure in an error; one without a code is internal.
+func Of(err error) *Failure {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f
+	}
+	return &Failure{Code: Internal, err: err}
+}
+
+// Is reports whether an error bears the code.
+func Is(err error, c Code) bool {
+	return err != nil && Of(err).Code.Number == c.Number
+}
+
+// Body is an error on the wire.
+type Body struct {
+	Error struct {
+		Number  int    `json:"number"`
+		Name    string `json:"name"`
+		Ran     Ran    `json:"ran"`
+		Message string `json:"message"`
+		Field   string `json:"field,omitempty"`
+		At      int    `json:"at,omitempty"`
+		AgainMs int64  `json:"again_ms,omitempty"`
+	} `json:"error"`
+}
+
+// ToBody makes the wire form of an error.
+func ToBody(err error) Body {
+	f := Of(err)
+	var b Body
+	b.Error.Number, b.Error.Name, b.Error.Ran = f.Code.Number, f.Code.Name, f.Code.Ran
+	b.Error.Field, b.Error.At, b.Error.AgainMs = f.Field, f.At, f.Again.Milliseconds()
+	b.Error.Message = f.Code.Text
+	if f.err != nil {
+		b.Error.Message = f.err.Error()
+	}
+	return b
+}
+
+// FromBody makes an error of its wire form.
+func FromBody(b Body, status int) error {
+	c, isKnown := table[b.Error.Number]
+	if !isKnown {
+		return New(Internal, "the other side answered %d %s", status, http.StatusText(status))
+	}
+	f := New(c, "%s", b.Error.Message)
+	f.Field, f.At, f.Again = b.Error.Field, b.Error.At, time.Duration(b.Error.AgainMs)*time.Millisecond
+	return f
+}
--- /dev/null
+++ b/hold/delay.go
@@ -0,0 +1,43 @@
+package hold
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"asterridge/blueprint"
+)
+
+// RetryAfter parses the header's values (§4.3). now is the wall clock, used for dates alone.
+func RetryAfter(values []string, now time.Time, limit time.Duration) (time.Duration, bool) {
+	if len(values) == 0 {
+		return 0, false
+	}
+	for _, other := range values[1:] {
+		if strings.TrimSpace(other) != strings.TrimSpace(values[0]) {
+			return 0, false
+		}
+	}
+	text := strings.TrimSpace(values[0])
+	if text != "" && strings.Trim(text, "0123456789") == "" {
+		seconds, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || seconds > int64(limit/time.Second) {
+			return limit, true
+		}
+		return time.Duration(seconds) * time.Second, true
+	}
+	if at, err := http.ParseTime(text); err == nil && at.After(now) {
+		return min(at.Sub(now), limit), true
+	}
+	return 0, false
+}
+
+// Backoff draws the fallback delay for a shot, counted from 0.
+func Backoff(rule blueprint.Hold, shot int, random *rand.Rand) time.Duration {
+	step := time.Duration(rule.BaseMs) * time.Millisecond << min(shot, 6)
+	step = min(step, time.Duration(rule.CapMs)*time.Millisecond)
+	least := time.Duration(float64(step) * (1 - rule.Jitter))
+	return least + time.Duration(random.Int64N(int64(step-least)+1))
+}
--- /dev/null
+++ b/hold/table.go
@@ -0,0 +1,121 @@
+// Package hold is the shared waiting rule: one not-before moment per scope, forward-only (docs/design.md §4).
+package hold
+
+import (
+	"sync"
+	"time"
+)
+
+// Scope names what a hold covers: a tenant, or a tenant's use of one pool.
+func Scope(tenant, pool string, isByPool bool) string {
+	if isByPool {
+		return tenant + "/" + pool
+	}
+	return tenant
+}
+
+// Notice is a hold on the wire. A mark is the same wherever the notice goes.
+type Notice struct {
+	Scope       string `json:"scope"`
+	Mark        string `json:"mark"`
+	RemainingMs int64  `json:"remaining_ms"`
+	Reason      string `json:"reason"`
+	Raw         string `json:"raw,omitempty"` // Retry-After as it came, for audit
+	Shot        int    `json:"shot"`
+	IsObserved  bool   `json:"observed,omitempty"` // observe-only: reported, never waited for
+}
+
+// Entry is the hold of one scope.
+type Entry struct {
+	Notice
+	Until time.Time // on this process's monotonic clock
+	marks []string
+}
+
+const maxMarks = 64
+
+// Table is scope → moment. Merging takes the maximum, and each mark once (§4.1).
+type Table struct {
+	mu     sync.Mutex
+	scopes map[string]*Entry
+	news   func(Entry)
+}
+
+// NewTable makes a table; news (may be nil) is told of each extension, outside the lock.
+func NewTable(news func(Entry)) *Table {
+	return &Table{scopes: map[string]*Entry{}, news: news}
+}
+
+// Merge takes a notice; it says whether the scope's moment moved.
+func (t *Table) Merge(n Notice, limit time.Duration) bool {
+	remaining := min(time.Duration(n.RemainingMs)*time.Millisecond, limit)
+	until := time.Now().Add(remaining)
+	t.mu.Lock()
+	place := n.Scope
+	if n.IsObserved {
+		place += " observed" // no scope has a blank, so the two never meet
+	}
+	e := t.scopes[place]
+	if e == nil {
+		e = &Entry{}
+		t.scopes[place] = e
+	}
+	for _, mark := range e.marks {
+		if mark == n.Mark {
+			t.mu.Unlock()
+			return false
+		}
+	}
+	if len(e.marks) == maxMarks {
+		e.marks = append(e.marks[:0:0], e.marks[maxMarks/2:]...)
+	}
+	e.marks = append(e.marks, n.Mark)
+	if !until.After(e.Until) {
+		t.mu.Unlock()
+		return false
+	}
+	e.Notice, e.Until = n, until
+	told := *e
+	t.mu.Unlock()
+	if t.news != nil {
+		t.news(told)
+	}
+	return true
+}
+
+// Until gives the scope's moment; zero if it has passed or only observes.
+func (t *Table) Until(scope string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.scopes[scope]
+	if e == nil || !time.Now().Before(e.Until) {
+		return time.Time{}
+	}
+	return e.Until
+}
+
+// All lists the holds that still run, with what remains of each.
+func (t *Table) All() []Notice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []Notice
+	for _, e := range t.scopes {
+		if left := time.Until(e.Until); left > 0 {
+			n := e.Notice
+			n.RemainingMs = left.Milliseconds()
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+// Prune forgets scopes whose moment is long past.
+func (t *Table) Prune(after time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for scope, e := range t.scopes {
+		if time.Since(e.Until) > after {
+			delete(t.scopes, scope)
+		}
+	}
+}
--- /dev/null
+++ b/link/follower.go
@@ -0,0 +1,160 @@
+package link
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"asterridge/fail"
+	"asterridge/register"
+)
+
+// Held is what a follower has of one key of its source.
+type Held struct {
+	Stamp, Settled register.Stamp
+	Fields         register.Fields
+}
+
+// FollowerOptions of a follower.
+type FollowerOptions struct {
+	Wire    *Wire
+	Address string
+	Path    string
+	Ask     func() Ask // name, role and what is applied
+	Wait    time.Duration
+	// News gets each answer with entries, after Held was brought up to it.
+	News func(f *Follower, answer Answer)
+	// Fresh is told after each answer, with the time when its ask was sent.
+	Fresh func(f *Follower, sent time.Time, remaining time.Duration)
+}
+
+// Follower keeps a copy of a source (§3.1, §3.2).
+type Follower struct {
+	Options FollowerOptions
+	mu      sync.Mutex
+	run     string
+	number  uint64
+	fresh   time.Time
+	keys    map[string]*Held
+	failure error
+}
+
+// NewFollower makes a follower; Run has it work.
+func NewFollower(options FollowerOptions) *Follower {
+	return &Follower{Options: options, keys: map[string]*Held{}}
+}
+
+const (
+	askTime   = 2 * time.Second
+	imageTime = 20 * time.Second
+	pause     = 100 * time.Millisecond
+)
+
+// Run asks until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.step(ctx) == nil {
+			continue
+		}
+		schedule := time.NewTimer(pause)
+		select {
+		case <-schedule.C:
+		case <-ctx.Done():
+			schedule.Stop()
+		}
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	ask := f.Options.Ask()
+	limit := askTime
+	f.mu.Lock()
+	ask.Run, ask.From, ask.WaitMs = f.run, f.number, f.Options.Wait.Milliseconds()
+	f.mu.Unlock()
+	if ask.From == 0 {
+		limit = imageTime
+	}
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	sent := time.Now()
+	answer, err := Call[Answer](ctx, f.Options.Wire, f.Options.Address, f.Options.Path, ask)
+	f.mu.Lock()
+	f.failure = err
+	if err != nil {
+		if fail.Is(err, fail.Unreachable) && ctx.Err() != nil {
+			f.Options.Wire.Client.CloseIdleConnections()
+		}
+		f.mu.Unlock()
+		return err
+	}
+	if answer.IsImage {
+		f.keys = map[string]*Held{}
+	}
+	for _, e := range answer.Entries {
+		h := f.keys[e.Key]
+		if h == nil {
+			h = &Held{Fields: register.Fields{}}
+			f.keys[e.Key] = h
+		}
+		h.Stamp, h.Settled = e.Stamp, e.Settled
+		h.Fields.Apply(e.Fields)
+	}
+	f.run, f.number = answer.Run, answer.Number
+	f.mu.Unlock()
+	if (len(answer.Entries) > 0 || answer.IsImage) && f.Options.News != nil {
+		f.Options.News(f, answer)
+	}
+	f.mu.Lock()
+	f.fresh = sent // only now: what counts as fresh has been acted on
+	f.mu.Unlock()
+	if f.Options.Fresh != nil {
+		f.Options.Fresh(f, sent, time.Duration(answer.RemainingMs)*time.Millisecond)
+	}
+	return nil
+}
+
+// FreshAt is when the last answered ask was sent; zero if none was.
+func (f *Follower) FreshAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fresh
+}
+
+// Failure is why the last ask failed, or nil.
+func (f *Follower) Failure() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failure
+}
+
+// Stamps gives the stamp and settled stamp of a key.
+func (f *Follower) Stamps(key string) (stamp, settled register.Stamp) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if h := f.keys[key]; h != nil {
+		return h.Stamp, h.Settled
+	}
+	return
+}
+
+// Read gives a copy of a key's content.
+func (f *Follower) Read(key string) Held {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.keys[key]
+	if h == nil {
+		return Held{Fields: register.Fields{}}
+	}
+	return Held{h.Stamp, h.Settled, h.Fields.Clone()}
+}
+
+// Keys lists the keys there are.
+func (f *Follower) Keys() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	keys := make([]string, 0, len(f.keys))
+	for key := range f.keys {
+		keys = append(keys, key)
+	}
+	return keys
+}
--- /dev/null
+++ b/link/source.go
@@ -0,0 +1,249 @@
+package link
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"maps"
+	"math"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/google/btree"
+
+	"asterridge/register"
+)
+
+// Ask is a follower's question: what is after number From? It acknowledges all up to From.
+type Ask struct {
+	Name    string                    `json:"name"`
+	Role    string                    `json:"role"`
+	Run     string                    `json:"run"`
+	From    uint64                    `json:"from"`
+	WaitMs  int64                     `json:"wait_ms"`
+	Applied map[string]register.Stamp `json:"applied,omitempty"` // what the follower acts on
+	Status  json.RawMessage           `json:"status,omitempty"`  // a few words for the operators
+}
+
+// Answer is one consistent cut of a source.
+type Answer struct {
+	Run         string  `json:"run"`
+	Number      uint64  `json:"number"`
+	IsImage     bool    `json:"image,omitempty"`
+	Entries     []Entry `json:"entries,omitempty"`
+	RemainingMs int64   `json:"remaining_ms,omitempty"` // how much longer the source vouches for this
+}
+
+// Entry is a key's changed fields.
+type Entry struct {
+	Key     string           `json:"key"`
+	Stamp   register.Stamp   `json:"stamp"`
+	Settled register.Stamp   `json:"settled"`
+	Fields  register.Fields  `json:"fields,omitempty"`
+	AgesMs  map[string]int64 `json:"ages_ms,omitempty"` // of fields without a stamp
+}
+
+const maxTombs = 4096
+
+// Source has the newest value of each field by number (§3.1).
+type Source struct {
+	run       string
+	remaining func() time.Duration
+	mu        sync.Mutex
+	number    uint64
+	floor     uint64 // tombstones up to here are dropped
+	tombs     int
+	keys      map[string]*sourced
+	order     *btree.BTreeG[place]
+	news      chan struct{}
+	followers map[string]Standing
+}
+
+type sourced struct {
+	stamp, settled register.Stamp
+	number         uint64
+	cells          map[string]cell
+}
+
+type cell struct {
+	value  json.RawMessage
+	number uint64
+	at     time.Time
+}
+
+type place struct {
+	number     uint64
+	key, field string
+}
+
+// Standing is what a source knows of a follower.
+type Standing struct {
+	Name    string                    `json:"name"`
+	Role    string                    `json:"role"`
+	Acked   uint64                    `json:"acked"`
+	Behind  uint64                    `json:"behind"`
+	AgeMs   int64                     `json:"age_ms"`
+	Applied map[string]register.Stamp `json:"applied,omitempty"`
+	Status  json.RawMessage           `json:"status,omitempty"`
+	at      time.Time
+}
+
+// NewSource makes an empty source; remaining may be nil.
+func NewSource(remaining func() time.Duration) *Source {
+	return &Source{
+		run: rand.Text(), remaining: remaining, keys: map[string]*sourced{}, news: make(chan struct{}),
+		order:     btree.NewG(32, func(a, b place) bool { return a.number < b.number }),
+		followers: map[string]Standing{},
+	}
+}
+
+// Put takes a change of a key; a whole one also takes away fields that it does not have.
+func (s *Source) Put(key string, stamp, settled register.Stamp, change register.Fields, isWhole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.keys[key]
+	if k == nil {
+		k = &sourced{cells: map[string]cell{}}
+		s.keys[key] = k
+	}
+	if isWhole {
+		full := register.Fields{}
+		for field, c := range k.cells {
+			if c.value != nil {
+				full[field] = nil
+			}
+		}
+		maps.Copy(full, change)
+		change = full
+	}
+	for field, value := range change {
+		s.set(key, k, field, value)
+	}
+	k.stamp, k.settled = stamp, settled
+	s.number++
+	s.order.Delete(place{number: k.number})
+	k.number = s.number
+	s.order.ReplaceOrInsert(place{s.number, key, ""})
+	for s.tombs > maxTombs {
+		s.dropTomb()
+	}
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+func (s *Source) set(key string, k *sourced, field string, value json.RawMessage) {
+	old, isThere := k.cells[field]
+	if register.IsGone(value) {
+		value = nil
+		if !isThere || old.value == nil {
+			return
+		}
+		s.tombs++
+	} else if isThere && old.value == nil {
+		s.tombs--
+	} else if isThere && string(old.value) == string(value) && k.stamp != (register.Stamp{}) {
+		return
+	}
+	if isThere {
+		s.order.Delete(place{number: old.number})
+	}
+	s.number++
+	k.cells[field] = cell{value, s.number, time.Now()}
+	s.order.ReplaceOrInsert(place{s.number, key, field})
+}
+
+func (s *Source) dropTomb() {
+	s.order.Ascend(func(p place) bool {
+		k := s.keys[p.key]
+		if p.field == "" || k.cells[p.field].value != nil {
+			return true
+		}
+		delete(k.cells, p.field)
+		s.order.Delete(p)
+		s.floor = p.number
+		s.tombs--
+		return false
+	})
+}
+
+// Pull answers an ask, at once if there is news, or after the wait.
+func (s *Source) Pull(ctx context.Context, ask Ask) (Answer, error) {
+	s.mu.Lock()
+	isSame := ask.Run == s.run && ask.From >= s.floor && ask.From <= s.number
+	standing := Standing{Name: ask.Name, Role: ask.Role, Applied: ask.Applied, Status: ask.Status, at: time.Now()}
+	if isSame {
+		standing.Acked = ask.From
+	}
+	s.followers[ask.Name] = standing
+	if isSame && ask.From == s.number && ask.WaitMs > 0 {
+		news := s.news
+		s.mu.Unlock()
+		schedule := time.NewTimer(time.Duration(min(ask.WaitMs, 1000)) * time.Millisecond)
+		select {
+		case <-news:
+		case <-schedule.C:
+		case <-ctx.Done():
+		}
+		schedule.Stop()
+		s.mu.Lock()
+	}
+	s.mu.Unlock()
+	var remaining time.Duration
+	if s.remaining != nil {
+		remaining = s.remaining() // before the cut: what is vouched for is in it
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isSame = isSame && ask.From >= s.floor
+	answer := Answer{Run: s.run, Number: s.number, IsImage: !isSame, RemainingMs: remaining.Milliseconds()}
+	from := ask.From
+	if !isSame {
+		from = 0
+	}
+	now, at := time.Now(), map[string]int{}
+	s.order.AscendGreaterOrEqual(place{number: from + 1}, func(p place) bool {
+		k := s.keys[p.key]
+		i, isThere := at[p.key]
+		if !isThere {
+			i = len(answer.Entries)
+			at[p.key] = i
+			answer.Entries = append(answer.Entries, Entry{Key: p.key, Stamp: k.stamp, Settled: k.settled, Fields: register.Fields{}})
+		}
+		if p.field == "" {
+			return true
+		}
+		e, c := &answer.Entries[i], k.cells[p.field]
+		e.Fields[p.field] = c.value
+		if k.stamp == (register.Stamp{}) {
+			if e.AgesMs == nil {
+				e.AgesMs = map[string]int64{}
+			}
+			e.AgesMs[p.field] = now.Sub(c.at).Milliseconds()
+		}
+		return true
+	})
+	return answer, nil
+}
+
+// Standings lists the followers heard within the given time; others are forgotten.
+func (s *Source) Standings(within time.Duration) []Standing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []Standing
+	for name, f := range s.followers {
+		age := time.Since(f.at)
+		if age > within {
+			delete(s.followers, name)
+			continue
+		}
+		f.AgeMs, f.Behind = age.Milliseconds(), s.number-f.Acked
+		all = append(all, f)
+	}
+	return all
+}
+
+// RetryAfter writes a duration as whole seconds, rounded up.
+func RetryAfter(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
--- /dev/null
+++ b/link/wire.go
@@ -0,0 +1,133 @@
+// Package link has the JSON endpoints between daemons and the numbered pushes of news (docs/design.md §3).
+package link
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+	kithttp "github.com/go-kit/kit/transport/http"
+
+	"asterridge/fail"
+)
+
+// Net is what a daemon needs of the network; the simulator has its own.
+type Net interface {
+	Listen(address string) (net.Listener, error)
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP is the machine's own network.
+type TCP struct{ net.Dialer }
+
+// Listen opens a TCP port.
+func (*TCP) Listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	return l, fail.Wrap(err, fail.Settings, "listen on "+address)
+}
+
+// Wire calls the other daemons of one fleet.
+type Wire struct {
+	Fleet  string
+	Client *http.Client
+}
+
+const (
+	fleetHeader = "X-Asterridge-Fleet"
+	maxMessage  = 64 << 20
+)
+
+// NewWire makes the caller's side over a network.
+func NewWire(fleet string, network Net) *Wire {
+	return &Wire{Fleet: fleet, Client: &http.Client{Transport: &http.Transport{
+		DialContext: network.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 20 * time.Second,
+	}}}
+}
+
+// Serve makes a handler of a function, through a go-kit endpoint. A message from another fleet is refused.
+func Serve[Q, A any](fleet string, answer func(context.Context, Q) (A, error)) http.Handler {
+	var made endpoint.Endpoint = func(ctx context.Context, request any) (any, error) {
+		return answer(ctx, request.(Q))
+	}
+	decode := func(_ context.Context, r *http.Request) (any, error) {
+		var q Q
+		if said := r.Header.Get(fleetHeader); said != "" && said != fleet {
+			return nil, fail.New(fail.WrongFleet, "fleet %q is not ours", said)
+		}
+		raw, err := io.ReadAll(io.LimitReader(r.Body, maxMessage+1))
+		if err != nil {
+			return nil, fail.Wrap(err, fail.Malformed, "read body")
+		}
+		if len(raw) > maxMessage {
+			return nil, fail.New(fail.Oversize, "message over %d bytes", maxMessage)
+		}
+		if len(raw) > 0 {
+			if err := json.Unmarshal(raw, &q); err != nil {
+				return nil, fail.Wrap(err, fail.Malformed, "read message")
+			}
+		}
+		return q, nil
+	}
+	return kithttp.NewServer(made, decode, kithttp.EncodeJSONResponse, kithttp.ServerErrorEncoder(EncodeFailure))
+}
+
+// EncodeFailure writes an error as its code's status and body.
+func EncodeFailure(_ context.Context, err error, w http.ResponseWriter) {
+	f := fail.Of(err)
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	if f.Again > 0 {
+		w.Header().Set("Retry-After", RetryAfter(f.Again))
+	}
+	w.WriteHeader(f.Code.Status)
+	_ = json.NewEncoder(w).Encode(fail.ToBody(err))
+}
+
+// Call asks another daemon and reads its answer.
+func Call[A any](ctx context.Context, wire *Wire, address, path string, q any) (A, error) {
+	var none A
+	target, err := url.Parse("http://" + address + path)
+	if err != nil {
+		return none, fail.Wrap(err, fail.Settings, "address")
+	}
+	encode := func(_ context.Context, r *http.Request, q any) error {
+		raw, err := json.Marshal(q)
+		if err != nil {
+			return fail.Wrap(err, fail.Internal, "encode message")
+		}
+		r.Header.Set(fleetHeader, wire.Fleet)
+		r.Header.Set("Content-Type", "application/json; charset=utf-8")
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(raw)), int64(len(raw))
+		return nil
+	}
+	decode := func(_ context.Context, r *http.Response) (any, error) {
+		var a A
+		if r.StatusCode != http.StatusOK {
+			var body fail.Body
+			if err := json.NewDecoder(io.LimitReader(r.Body, 1<<16)).Decode(&body); err != nil {
+				return nil, fail.New(fail.Unreachable, "%s answered %s", address, r.Status)
+			}
+			return nil, fail.FromBody(body, r.StatusCode)
+		}
+		if err := json.NewDecoder(r.Body).Decode(&a); err != nil {
+			return nil, fail.Wrap(err, fail.Unreachable, "read answer")
+		}
+		return a, nil
+	}
+	ask := kithttp.NewClient(http.MethodPost, target, encode, decode, kithttp.SetClient(wire.Client)).Endpoint()
+	answer, err := ask(ctx, q)
+	if err != nil {
+		var known *fail.Failure
+		if errors.As(err, &known) {
+			return none, err
+		}
+		return none, fail.Wrap(err, fail.Unreachable, "call "+address+path)
+	}
+	return answer.(A), nil
+}
--- /dev/null
+++ b/prompt/prompt.go
@@ -0,0 +1,136 @@
+// Package prompt is the index of kept prompts: which replica is thought to keep which prefix, by cache domain. It is a
+// hint; the replica alone decides what it reads from its cache (docs/design.md §6.1, §6.3).
+package prompt
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/btree"
+)
+
+// BlockSize is the number of bytes of a prompt's block.
+const BlockSize = 256
+
+// Domain is the cache domain of a request: its wall and the weights.
+func Domain(tenant string, isWalled bool, weights string) string {
+	if isWalled {
+		return "tenant:" + tenant + "@" + weights
+	}
+	return "common@" + weights
+}
+
+// Blocks chains the hashes of a prompt's whole blocks, at most most of them.
+func Blocks(domain, text string, most int) []string {
+	count := min(len(text)/BlockSize, most)
+	chain := make([]string, 0, count)
+	sum := sha256.Sum256([]byte(domain))
+	for i := range count {
+		h := sha256.New()
+		h.Write(sum[:])
+		h.Write([]byte(text[i*BlockSize : (i+1)*BlockSize]))
+		h.Sum(sum[:0])
+		chain = append(chain, hex.EncodeToString(sum[:12]))
+	}
+	return chain
+}
+
+type item struct {
+	block, replica string
+	at             time.Time
+}
+
+// Index is bounded; the oldest news goes first.
+type Index struct {
+	mu   sync.Mutex
+	most int
+	tree *btree.BTreeG[*item]
+	line []*item // in order of arrival; may name items that were renewed or dropped
+}
+
+// NewIndex keeps at most most entries.
+func NewIndex(most int) *Index {
+	return &Index{most: most, tree: btree.NewG(16, func(a, b *item) bool {
+		if a.block != b.block {
+			return a.block < b.block
+		}
+		return a.replica < b.replica
+	})}
+}
+
+// Learn notes that a replica keeps these blocks.
+func (x *Index) Learn(replica string, blocks []string) {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, block := range blocks {
+		it := &item{block, replica, now}
+		x.tree.ReplaceOrInsert(it)
+		x.line = append(x.line, it)
+	}
+	for len(x.line) > 0 && (x.tree.Len() > x.most || len(x.line) > 4*x.most) {
+		old := x.line[0]
+		x.line = x.line[1:]
+		if present, isThere := x.tree.Get(old); isThere && present == old {
+			x.tree.Delete(old)
+		}
+	}
+}
+
+// Forget drops what a replica was thought to keep: all of it, or the named blocks.
+func (x *Index) Forget(replica string, blocks []string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if blocks != nil {
+		for _, block := range blocks {
+			x.tree.Delete(&item{block: block, replica: replica})
+		}
+		return
+	}
+	var gone []*item
+	x.tree.Ascend(func(it *item) bool {
+		if it.replica == replica {
+			gone = append(gone, it)
+		}
+		return true
+	})
+	for _, it := range gone {
+		x.tree.Delete(it)
+	}
+}
+
+// Kept gives, by replica, how many of the chain's leading blocks are thought to be kept.
+func (x *Index) Kept(chain []string) map[string]int {
+	kept := map[string]int{}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for i, block := range chain {
+		isAny := false
+		x.tree.AscendGreaterOrEqual(&item{block: block}, func(it *item) bool {
+			if it.block != block {
+				return false
+			}
+			if kept[it.replica] == i {
+				kept[it.replica], isAny = i+1, true
+			}
+			return true
+		})
+		if !isAny {
+			break
+		}
+	}
+	return kept
+}
+
+// Len is the number of entries.
+func (x *Index) Len() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.tree.Len()
+}
+
+// Text joins what a prompt is made of, in order.
+func Text(parts ...string) string { return strings.Join(parts, "\n") }
--- /dev/null
+++ b/register/keeper.go
@@ -0,0 +1,322 @@
+package register
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"sort"
+	"sync"
+
+	"asterridge/disk"
+	"asterridge/fail"
+)
+
+const (
+	shardCount = 64
+	maxDeltas  = 64
+)
+
+// Keeper is what one core's disk has promised and accepted (§2.2).
+type Keeper struct {
+	disk disk.Disk
+	// News is told of each change of a key, under the key's lock.
+	news   func(key string, at Record, change Fields, isWhole bool)
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu   sync.Mutex
+	keys map[string]*entry
+}
+
+type entry struct {
+	mu     sync.Mutex
+	record Record
+	files  []string // version files on disk, oldest first
+	weight int      // bytes of deltas since the last whole
+}
+
+// Record is a keeper's state of one key.
+type Record struct {
+	Promised uint64 `json:"promised"`
+	Stamp    Stamp  `json:"stamp"`
+	Settled  Stamp  `json:"settled"`
+	Fields   Fields `json:"fields,omitempty"`
+}
+
+// IsSettled says whether the accepted content is known to be on a majority.
+func (r Record) IsSettled() bool { return IsSettled(r.Stamp, r.Settled) }
+
+// IsSettled compares within one epoch only: a stamp settled under another epoch says nothing of content that lost to it.
+func IsSettled(stamp, settled Stamp) bool {
+	return stamp == Stamp{} || settled.Epoch == stamp.Epoch && settled.Version >= stamp.Version
+}
+
+// Options of a keeper.
+type KeeperOptions struct {
+	Disk disk.Disk
+	News func(key string, at Record, change Fields, isWhole bool)
+	// Note is told of files left out when loading.
+	Note func(folder, file string, err error)
+}
+
+// OpenKeeper loads all keys from the disk (§2.5).
+func OpenKeeper(options KeeperOptions) (*Keeper, error) {
+	k := &Keeper{disk: options.Disk, news: options.News}
+	for i := range k.shards {
+		k.shards[i].keys = map[string]*entry{}
+	}
+	folders, err := k.disk.List("")
+	if err != nil {
+		return nil, err
+	}
+	for _, folder := range folders {
+		if folder[0] != 'k' {
+			continue
+		}
+		key, err := url.QueryUnescape(folder[1:])
+		if err != nil {
+			options.Note(folder, "", err)
+			continue
+		}
+		e, err := k.load(folder, options.Note)
+		if err != nil {
+			return nil, err
+		}
+		k.shard(key).keys[key] = e
+		k.news(key, e.record, e.record.Fields, true)
+	}
+	return k, nil
+}
+
+func folderOf(key string) string { return "k" + url.QueryEscape(key) }
+
+func nameOf(s Stamp) string { return fmt.Sprintf("v.%016x.%016x", s.Epoch, s.Version) }
+
+func (k *Keeper) load(folder string, note func(folder, file string, err error)) (*entry, error) {
+	names, err := k.disk.List(folder)
+	if err != nil {
+		return nil, err
+	}
+	sort.Strings(names)
+	e := &entry{}
+	for _, name := range names {
+		var epoch uint64
+		if n, _ := fmt.Sscanf(name, "p.%016x", &epoch); n == 1 {
+			e.record.Promised = max(e.record.Promised, epoch)
+			continue
+		}
+		data, err := k.disk.Get(folder, name)
+		var change Change
+		if err == nil {
+			err = json.Unmarshal(data, &change)
+		}
+		if err == nil && name != nameOf(change.Next) {
+			err = fail.New(fail.Torn, "name and content differ")
+		}
+		if err == nil && !change.IsWhole && change.Base != e.record.Stamp {
+			err = fail.New(fail.Torn, "its base is not there")
+		}
+		if err != nil {
+			note(folder, name, err)
+			continue
+		}
+		if change.IsWhole {
+			e.record.Fields = Fields{}
+		}
+		e.record.Fields.Apply(change.Fields)
+		e.record.Stamp = change.Next
+		if e.record.Settled.Less(change.Settled) {
+			e.record.Settled = change.Settled
+		}
+		e.files = append(e.files, name)
+	}
+	e.record.Promised = max(e.record.Promised, e.record.Stamp.Epoch)
+	return e, nil
+}
+
+func (k *Keeper) shard(key string) *shard { return &k.shards[Weight(key, "")%shardCount] }
+
+func (k *Keeper) entry(key string) *entry {
+	s := k.shard(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.keys[key]
+	if e == nil {
+		e = &entry{}
+		s.keys[key] = e
+	}
+	return e
+}
+
+// Read gives a copy of a key's record.
+func (k *Keeper) Read(key string) Record {
+	e := k.entry(key)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	record := e.record
+	record.Fields = record.Fields.Clone()
+	return record
+}
+
+// Keys lists the keys that have content or an unsettled change.
+func (k *Keeper) Keys() []string {
+	var keys []string
+	for i := range k.shards {
+		s := &k.shards[i]
+		s.mu.Lock()
+		for key := range s.keys {
+			keys = append(keys, key)
+		}
+		s.mu.Unlock()
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Unsettled says whether the key has content not known to be on a majority.
+func (k *Keeper) Unsettled(key string) bool {
+	e := k.entry(key)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.record.IsSettled()
+}
+
+// Promise swears off all epochs below; the answer bears the fields only if the asker lacks them.
+func (k *Keeper) Promise(key string, epoch uint64, has Stamp) (Record, error) {
+	e := k.entry(key)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if epoch <= e.record.Promised {
+		return Record{}, e.superseded(epoch)
+	}
+	folder, old := folderOf(key), e.record.Promised
+	if err := k.disk.Put(folder, fmt.Sprintf("p.%016x", epoch), []byte("{}")); err != nil {
+		return Record{}, err
+	}
+	_ = k.disk.Drop(folder, fmt.Sprintf("p.%016x", old)) // an old promise left behind does no harm
+	e.record.Promised = epoch
+	answer := e.record
+	if has.Less(e.record.Stamp) {
+		answer.Fields = e.record.Fields.Clone()
+	} else {
+		answer.Fields = nil
+	}
+	return answer, nil
+}
+
+// superseded tells the asker, in At, which epoch it has to exceed.
+func (e *entry) superseded(epoch uint64) error {
+	f := fail.New(fail.Superseded, "epoch %d, promised %d", epoch, e.record.Promised)
+	f.At = int(e.record.Promised)
+	return f
+}
+
+// Accept takes a change if no higher epoch was promised and its base is here, or it is whole.
+func (k *Keeper) Accept(change Change) error {
+	e := k.entry(change.Key)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if change.Next.Epoch < e.record.Promised {
+		return e.superseded(change.Next.Epoch)
+	}
+	if !e.record.Stamp.Less(change.Next) {
+		// A late copy: what is here came later, or is the same, under the same epoch.
+		if e.record.Stamp.Epoch == change.Next.Epoch {
+			return nil
+		}
+		return fail.New(fail.Superseded, "a later stamp is here")
+	}
+	if !change.IsWhole && change.Base != e.record.Stamp {
+		return fail.New(fail.Behind, "has %v, base %v", e.record.Stamp, change.Base)
+	}
+	return k.store(e, change)
+}
+
+// Adopt takes settled content learned from another core (§2.4).
+func (k *Keeper) Adopt(key string, stamp Stamp, fields Fields) error {
+	e := k.entry(key)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.record.Stamp.Less(stamp) {
+		k.settle(e, key, stamp)
+		return nil
+	}
+	return k.store(e, Change{Key: key, Next: stamp, IsWhole: true, Fields: fields, Settled: stamp})
+}
+
+func (k *Keeper) store(e *entry, change Change) error {
+	fields := e.record.Fields
+	if fields == nil || change.IsWhole {
+		fields = Fields{}
+	}
+	written := change
+	e.weight += weigh(change.Fields)
+	if !change.IsWhole && (len(e.files) == 0 || len(e.files) >= maxDeltas || e.weight > weigh(fields)+4096) {
+		whole := fields.Clone()
+		whole.Apply(change.Fields)
+		written.IsWhole, written.Fields = true, whole
+	}
+	data, err := json.Marshal(written)
+	if err != nil {
+		return fail.Wrap(err, fail.Internal, "encode change")
+	}
+	folder := folderOf(change.Key)
+	if err := k.disk.Put(folder, nameOf(change.Next), data); err != nil {
+		return err
+	}
+	if written.IsWhole {
+		for _, old := range e.files {
+			_ = k.disk.Drop(folder, old) // loading skips what a whole outdates
+		}
+		e.files, e.weight = nil, 0
+	}
+	e.files = append(e.files, nameOf(change.Next))
+	fields.Apply(change.Fields)
+	e.record.Fields, e.record.Stamp = fields, change.Next
+	e.record.Promised = max(e.record.Promised, change.Next.Epoch)
+	if e.record.Settled.Less(change.Settled) {
+		e.record.Settled = change.Settled
+	}
+	k.news(change.Key, e.record, change.Fields, change.IsWhole)
+	return nil
+}
+
+func weigh(fields Fields) int {
+	sum := 0
+	for name, value := range fields {
+		sum += len(name) + len(value) + 8
+	}
+	return sum
+}
+
+// Settle notes that a stamp is on a majority. It is not written: a lost note only costs a question.
+func (k *Keeper) Settle(key string, stamp Stamp) {
+	e := k.entry(key)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	k.settle(e, key, stamp)
+}
+
+func (k *Keeper) settle(e *entry, key string, stamp Stamp) {
+	if e.record.Settled.Less(stamp) {
+		e.record.Settled = stamp
+		k.news(key, e.record, nil, false)
+	}
+}
+
+// Stamp gives the accepted stamp of a key.
+func (k *Keeper) Stamp(key string) Stamp {
+	e := k.entry(key)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.record.Stamp
+}
+
+// Promised gives the highest epoch promised for a key.
+func (k *Keeper) Promised(key string) uint64 {
+	e := k.entry(key)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.record.Promised
+}
--- /dev/null
+++ b/router/counts.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"maps"
+	"sync"
+
+	"asterridge/fail"
+)
+
+// counts are this router's figures, by name.
+type counts struct {
+	mu     sync.Mutex
+	byName map[string]int64
+}
+
+func newCounts() counts { return counts{byName: map[string]int64{}} }
+
+func (c *counts) add(name string, n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.byName[name] += n
+}
+
+func (c *counts) step(to State) { c.add("state_"+string(to), 1) }
+
+func (c *counts) bounce(code fail.Code) { c.add("bounce_"+code.Name, 1) }
+
+func (c *counts) all() map[string]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.byName)
+}
+
+// budget pays for second shots (§5.4).
+type budget struct {
+	mu     sync.Mutex
+	tokens float64
+}
+
+const (
+	budgetPart      = 0.1
+	budgetAllowance = 3
+	budgetMost      = 20
+)
+
+func (b *budget) first() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+budgetPart, budgetMost)
+}
+
+func (b *budget) spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/router/exchange.go
@@ -0,0 +1,151 @@
+package router
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"asterridge/backlog"
+	"asterridge/fail"
+)
+
+// State of a request (docs/design.md §5.1).
+type State string
+
+const (
+	Received  State = "received"
+	Eligible  State = "eligible"
+	Submitted State = "submitted"
+	RetryWait State = "retry_wait"
+	Done      State = "done"
+	Failed    State = "failed"
+	Stale     State = "stale"
+)
+
+// next lists the steps that a request may take.
+var next = map[State][]State{
+	Received:  {Eligible, Failed, Stale},
+	Eligible:  {Submitted, Failed, Stale},
+	Submitted: {Done, Failed, RetryWait},
+	RetryWait: {Eligible, Failed, Stale},
+}
+
+// Event is one step of a request.
+type Event struct {
+	Request string    `json:"request"`
+	Tenant  string    `json:"tenant,omitempty"`
+	Prior   State     `json:"prior,omitempty"`
+	New     State     `json:"new"`
+	Shot    int       `json:"shot"`
+	At      time.Time `json:"at"`
+	Reason  string    `json:"reason,omitempty"`
+	Replica string    `json:"replica,omitempty"`
+}
+
+// audit is a bounded ring of events.
+type audit struct {
+	mu     sync.Mutex
+	events []Event
+	at     int
+}
+
+func newAudit(size int) *audit { return &audit{events: make([]Event, 0, size)} }
+
+func (a *audit) add(e Event) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.events) < cap(a.events) {
+		a.events = append(a.events, e)
+		return
+	}
+	a.events[a.at] = e
+	a.at = (a.at + 1) % len(a.events)
+}
+
+// find lists the events that fit, oldest first.
+func (a *audit) find(fits func(Event) bool) []Event {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var found []Event
+	for i := range a.events {
+		if e := a.events[(a.at+i)%len(a.events)]; fits(e) {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// Exchange is one request on its way through the chain.
+type Exchange struct {
+	ID       string
+	Request  *http.Request
+	Body     []byte
+	Prompt   Prompt
+	Key      string // the caller's idempotency key, if any
+	Access   string // hash of the access key
+	View     *View
+	Tenant   *tenant
+	Path     *path
+	Deadline time.Time
+	Received time.Time
+
+	IsRepeatable bool
+	Shot         int
+	State        State
+	Answer       *Answer
+
+	chains    map[string][]string
+	item      backlog.Item
+	replica   *replica
+	weights   string
+	isClaimed bool
+	isSent    bool // some shot may have run
+}
+
+// Answer is a replica's answer whose first piece is here.
+type Answer struct {
+	Status int
+	Header http.Header
+	First  []byte
+	Rest   io.ReadCloser
+	IsEnd  func(tail []byte) bool // whether the stream's own end mark has come; nil if there is none
+	IsAll  bool                   // First is the whole answer
+	finish func(err error)
+}
+
+// step moves a request to its next state and notes it.
+func (r *Router) step(x *Exchange, to State, reason string) {
+	isLawful := x.State == "" && to == Received
+	for _, s := range next[x.State] {
+		isLawful = isLawful || s == to
+	}
+	if !isLawful {
+		panic("request " + x.ID + ": no step from " + string(x.State) + " to " + string(to))
+	}
+	e := Event{Request: x.ID, Prior: x.State, New: to, Shot: x.Shot, At: time.Now(), Reason: reason}
+	if x.Tenant != nil {
+		e.Tenant = x.Tenant.Name
+	}
+	if x.replica != nil && to != Received {
+		e.Replica = x.replica.Name
+	}
+	x.State = to
+	r.audit.add(e)
+	r.counts.step(to)
+	r.log.Debug().Str("event", "request").Str("request", x.ID).Str("tenant", e.Tenant).Str("from", string(e.Prior)).
+		Str("to", string(to)).Int("shot", x.Shot).Str("reason", reason).Str("replica", e.Replica).Msg("")
+}
+
+// end closes a request that was not answered.
+func (r *Router) end(x *Exchange, err error) {
+	to := Failed
+	if fail.Is(err, fail.Stale) || fail.Is(err, fail.Held) {
+		to = Stale
+	}
+	if x.State == Submitted {
+		to = Failed
+	}
+	r.counts.bounce(fail.Of(err).Code)
+	r.step(x, to, err.Error())
+}
--- /dev/null
+++ b/router/pool.go
@@ -0,0 +1,127 @@
+package router
+
+import (
+	"time"
+
+	"asterridge/backlog"
+	"asterridge/prompt"
+	"asterridge/register"
+)
+
+// credit is one slot of one replica.
+type credit struct {
+	replica *replica
+	weights string
+}
+
+const (
+	reportAge   = 1500 * time.Millisecond
+	borrowPart  = 0.75
+	defaultRate = 4.0 // bytes of prompt per ms, until a replica tells
+	loadWeight  = 40.0
+	newestWarm  = 3 * time.Second
+)
+
+// mayServe says whether a replica may start work for the pool now (§6.1).
+func (r *Router) mayServe(p *pool, rep *replica, now time.Time) (weights string, isFit bool) {
+	if rep.State == "leaving" {
+		return "", false
+	}
+	said := rep.report.Load()
+	if said == nil || now.Sub(said.at) > reportAge || !p.allows(said.Weights, now) {
+		return "", false
+	}
+	if rep.State == "warming" && !said.IsWarm {
+		return "", false
+	}
+	return said.Weights, true
+}
+
+// draw takes a credit for a waiting request: the replica with the least estimated cost among those with room.
+func (r *Router) draw(item *backlog.Item) (credit, bool) {
+	x := item.Body.(*Exchange)
+	v := r.view.Load()
+	p := v.pools[x.Path.Pool]
+	if p == nil {
+		return credit{}, false
+	}
+	now := time.Now()
+	var best credit
+	var least float64
+	chains := map[string]map[string]int{}
+	for _, rep := range p.replicas {
+		weights, isFit := r.mayServe(p, rep, now)
+		if !isFit || !r.hasRoom(rep) {
+			continue
+		}
+		domain := prompt.Domain(x.Tenant.Name, x.Tenant.IsWalled, weights)
+		kept, isKnown := chains[domain]
+		if !isKnown && p.Kind == "model" {
+			kept = r.index.Kept(x.chain(domain))
+			chains[domain] = kept
+		}
+		cost := r.cost(x, rep, kept[rep.Name])
+		if cost < least || best.replica == nil ||
+			cost == least && register.Weight(x.anchor(domain), rep.Name) > register.Weight(x.anchor(domain), best.replica.Name) {
+			best, least = credit{rep, weights}, cost
+		}
+	}
+	if best.replica == nil {
+		return credit{}, false
+	}
+	best.replica.running.Add(1)
+	best.replica.sent.Add(1)
+	return best, true
+}
+
+// cost estimates the milliseconds until the first piece.
+func (r *Router) cost(x *Exchange, rep *replica, keptBlocks int) float64 {
+	said := rep.report.Load()
+	rate := said.Rate
+	if rate <= 0 {
+		rate = defaultRate
+	}
+	work := float64(max(0, len(x.Prompt.Text)-keptBlocks*prompt.BlockSize)) / rate
+	busy := float64(said.Running) + float64(rep.sent.Load())
+	cost := work + loadWeight*busy*busy/float64(max(1, rep.Limit))/float64(max(1, rep.Limit))
+	if !said.IsWarm {
+		cost += float64(newestWarm.Milliseconds())
+	}
+	return cost
+}
+
+// hasRoom looks at this proxy's share, and beyond it at what the replica's report leaves free (§5.3).
+func (r *Router) hasRoom(rep *replica) bool {
+	own := int(rep.running.Load())
+	if own < rep.share {
+		return true
+	}
+	said := rep.report.Load()
+	return float64(said.Running)+float64(rep.sent.Load())+1 <= borrowPart*float64(rep.Limit)
+}
+
+// giveBack returns a credit.
+func (r *Router) giveBack(c credit) { c.replica.running.Add(-1) }
+
+// chain gives the prompt's block hashes in a cache domain, made once.
+func (x *Exchange) chain(domain string) []string {
+	if x.chains == nil {
+		x.chains = map[string][]string{}
+	}
+	chain, isMade := x.chains[domain]
+	if !isMade {
+		chain = prompt.Blocks(domain, x.Prompt.Text, maxBlocks)
+		x.chains[domain] = chain
+	}
+	return chain
+}
+
+const maxBlocks = 256
+
+// anchor stands for the prompt's opening, on which proxies without news agree.
+func (x *Exchange) anchor(domain string) string {
+	if chain := x.chain(domain); len(chain) > 0 {
+		return chain[min(len(chain), 4)-1]
+	}
+	return x.Tenant.Name
+}
--- /dev/null
+++ b/router/query.go
@@ -0,0 +1,123 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"asterridge/fail"
+	"asterridge/link"
+)
+
+// Row is one line of a query's result.
+type Row map[string]any
+
+// Query asks a router for rows of one kind; Name narrows it.
+type Query struct {
+	What string `json:"what"`
+	Name string `json:"name,omitempty"`
+}
+
+// streaks counts how often in a row a scope was throttled anew after its hold had ended.
+type streaks struct {
+	mu      sync.Mutex
+	byScope map[string]int
+}
+
+// streak is the scope's shot for the fallback delay (§4.3).
+func (r *Router) streak(x *Exchange) int {
+	r.streaks.mu.Lock()
+	defer r.streaks.mu.Unlock()
+	if r.table.Until(x.item.Scope).IsZero() {
+		r.streaks.byScope[x.item.Scope]++
+	}
+	return max(0, r.streaks.byScope[x.item.Scope]-1)
+}
+
+// calm forgets the streak when an answer begins and no hold stands.
+func (r *Router) calm(x *Exchange) {
+	if !r.table.Until(x.item.Scope).IsZero() {
+		return
+	}
+	r.streaks.mu.Lock()
+	defer r.streaks.mu.Unlock()
+	delete(r.streaks.byScope, x.item.Scope)
+}
+
+// Admin serves the agent's queries and the platform's readiness check.
+func (r *Router) Admin() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /proxy/query", link.Serve(r.options.Fleet, r.Rows))
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !r.IsReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Rows answers a query on this router's own state.
+func (r *Router) Rows(_ context.Context, q Query) ([]Row, error) {
+	v := r.view.Load()
+	var rows []Row
+	switch q.What {
+	case "requests":
+		for _, e := range r.audit.find(func(e Event) bool { return q.Name == "" || e.Request == q.Name }) {
+			rows = append(rows, Row{"proxy": r.options.Name, "request": e.Request, "tenant": e.Tenant, "prior": e.Prior,
+				"new": e.New, "shot": e.Shot, "at": e.At.UTC().Format(time.RFC3339Nano), "reason": e.Reason, "replica": e.Replica})
+		}
+	case "backlog":
+		if v == nil {
+			return nil, nil
+		}
+		tenants, pools := map[int]string{}, map[int]string{}
+		for name, t := range v.tenants {
+			tenants[t.index] = name
+		}
+		for name, p := range v.pools {
+			pools[p.index] = name
+		}
+		for _, d := range r.backlog.Depths() {
+			rows = append(rows, Row{"proxy": r.options.Name, "tenant": tenants[d.Tenant], "pool": pools[d.Pool],
+				"waiting": d.Count, "oldest_ms": d.Oldest.Milliseconds()})
+		}
+	case "holds":
+		for _, n := range r.table.All() {
+			rows = append(rows, Row{"where": r.options.Name, "scope": n.Scope, "remaining_ms": n.RemainingMs, "reason": n.Reason,
+				"shot": n.Shot, "mark": n.Mark, "raw": n.Raw, "observed": n.IsObserved})
+		}
+	case "replicas":
+		if v == nil {
+			return nil, nil
+		}
+		for name, rep := range v.replicas {
+			row := Row{"proxy": r.options.Name, "replica": name, "pool": rep.Pool, "zone": rep.Zone, "state": rep.State,
+				"own_running": rep.running.Load(), "share": rep.share, "fit": false}
+			if said := rep.report.Load(); said != nil {
+				row["weights"], row["running"], row["warm"] = said.Weights, said.Running, said.IsWarm
+				row["report_ms"] = time.Since(said.at).Milliseconds()
+			}
+			if p := v.pools[rep.Pool]; p != nil {
+				_, isFit := r.mayServe(p, rep, time.Now())
+				row["fit"] = isFit
+			}
+			rows = append(rows, row)
+		}
+	case "counts":
+		row := Row{"proxy": r.options.Name, "index": r.index.Len()}
+		for name, n := range r.counts.all() {
+			row[name] = n
+		}
+		rows = append(rows, row)
+	default:
+		return nil, fail.New(fail.NotFound, "no query %q", q.What)
+	}
+	sort.SliceStable(rows, func(i, j int) bool {
+		a, _ := rows[i]["replica"].(string)
+		b, _ := rows[j]["replica"].(string)
+		return q.What == "replicas" && a < b
+	})
+	return rows, nil
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,361 @@
+// Package router is the data plane as a library: a chain of filters that leads a caller's request to a replica under the shared
+// waiting rule. cmd/proxy is a thin daemon over it; a program of one's own may embed it (docs/design.md §5).
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	mathrand "math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	kithttp "github.com/go-kit/kit/transport/http"
+	"github.com/rs/zerolog"
+
+	"asterridge/backlog"
+	"asterridge/blueprint"
+	"asterridge/fail"
+	"asterridge/hold"
+	"asterridge/link"
+	"asterridge/prompt"
+	"asterridge/register"
+)
+
+// Keys that an agent makes itself, besides the registers.
+const (
+	proxiesKey = "proxies"
+	holdKey    = "hold"
+	reportsKey = "reports"
+	keptPrefix = "kept/"
+)
+
+// Options of a router.
+type Options struct {
+	Name    string // unique in the fleet
+	Zone    string
+	Fleet   string
+	Agent   string // the agent's address on loopback
+	Net     link.Net
+	Log     zerolog.Logger
+	Seed    uint64
+	Dialect Dialect
+	Filters []Filter // policies of one's own, after identity and path are known
+	Audit   int      // events kept
+	Admin   string   // where the agent reaches this router's queries
+}
+
+// Router is one data plane process's state.
+type Router struct {
+	options  Options
+	log      zerolog.Logger
+	wire     *link.Wire
+	upstream *http.Transport
+	follower *link.Follower
+	names    indices
+	view     atomic.Pointer[View]
+	current  atomic.Pointer[time.Time] // vouched for until then
+	table    *hold.Table
+	signals  *hold.Signals
+	index    *prompt.Index
+	backlog  *backlog.Backlog[credit]
+	audit    *audit
+	counts   counts
+	budget   budget
+	streaks  streaks
+	chain    handle
+	random   *lockedRandom
+	run      string // this life of the process
+	marks    atomic.Uint64
+	reports  chan hold.Notice
+	stopping atomic.Bool
+	open     sync.WaitGroup
+	draining chan struct{}
+}
+
+type lockedRandom struct {
+	mu sync.Mutex
+	r  *mathrand.Rand
+}
+
+func (l *lockedRandom) backoff(rule blueprint.Hold, shot int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return hold.Backoff(rule, shot, l.r)
+}
+
+// New makes a router; Run has it follow its agent.
+func New(options Options) *Router {
+	if options.Audit == 0 {
+		options.Audit = 4096
+	}
+	if options.Dialect == nil {
+		options.Dialect = ChatDialect{}
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(options.Name))
+	r := &Router{
+		options: options, log: options.Log, wire: link.NewWire(options.Fleet, options.Net),
+		upstream: &http.Transport{
+			DialContext: options.Net.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second,
+			DisableCompression: true,
+		},
+		names: indices{map[string]int{}}, signals: hold.NewSignals(), index: prompt.NewIndex(200000),
+		audit: newAudit(options.Audit), counts: newCounts(), budget: budget{tokens: budgetAllowance},
+		run: rand.Text()[:8], streaks: streaks{byScope: map[string]int{}},
+		random:  &lockedRandom{r: mathrand.New(mathrand.NewPCG(options.Seed, h.Sum64()))},
+		reports: make(chan hold.Notice, 256), draining: make(chan struct{}),
+	}
+	r.table = hold.NewTable(func(e hold.Entry) { r.backlog.WakeAll() })
+	r.backlog = backlog.New(backlog.Options[credit]{
+		Draw: r.draw, Return: r.giveBack, HeldUntil: r.table.Until,
+	})
+	r.follower = link.NewFollower(link.FollowerOptions{
+		Wire: r.wire, Address: options.Agent, Path: "/agent/pull", Wait: 100 * time.Millisecond,
+		Ask: r.ask, News: r.news, Fresh: r.fresh,
+	})
+	filters := []Filter{
+		currencyFilter{r}, identityFilter{r}, pathFilter{r},
+	}
+	filters = append(filters, options.Filters...)
+	filters = append(filters, shotsFilter{r}, backlogFilter{r}, claimFilter{r}, sendFilter{r})
+	r.chain = func(context.Context, *Exchange) error {
+		return fail.New(fail.Internal, "no filter answered")
+	}
+	for i := len(filters) - 1; i >= 0; i-- {
+		filter, onward := filters[i], r.chain
+		r.chain = func(ctx context.Context, x *Exchange) error { return filter.Handle(ctx, x, onward) }
+	}
+	return r
+}
+
+// Run follows the agent and reports holds until the context ends.
+func (r *Router) Run(ctx context.Context) {
+	go r.tell(ctx)
+	r.follower.Run(ctx)
+}
+
+// Status is what a router tells its agent, and so the cores.
+type Status struct {
+	Proxy     string           `json:"proxy"`
+	Run       string           `json:"run"` // one process's life
+	Zone      string           `json:"zone"`
+	Admin     string           `json:"admin"`
+	IsCurrent bool             `json:"current"`
+	IsStop    bool             `json:"stopping,omitempty"`
+	Counts    map[string]int64 `json:"counts"`
+}
+
+func (r *Router) ask() link.Ask {
+	status := Status{Proxy: r.options.Name, Run: r.run, Zone: r.options.Zone, Admin: r.options.Admin, IsCurrent: r.IsCurrent(),
+		IsStop: r.stopping.Load(), Counts: r.counts.all()}
+	raw, _ := json.Marshal(status) // a plain struct always encodes
+	ask := link.Ask{Name: r.options.Name, Role: "proxy", Status: raw, Applied: map[string]register.Stamp{}}
+	if v := r.view.Load(); v != nil {
+		ask.Applied[blueprint.Key] = v.Version
+	}
+	return ask
+}
+
+// news brings the router's state up to the agent's.
+func (r *Router) news(f *link.Follower, answer link.Answer) {
+	isView := answer.IsImage
+	for _, e := range answer.Entries {
+		switch {
+		case e.Key == holdKey:
+			r.learnHolds(e)
+		case e.Key == reportsKey:
+			isView = isView || r.view.Load() == nil
+		case strings.HasPrefix(e.Key, keptPrefix):
+			r.learnKept(strings.TrimPrefix(e.Key, keptPrefix), e.Fields, answer.IsImage)
+		default:
+			isView = true
+		}
+	}
+	if isView {
+		v, err := r.compile(func(key string) (register.Stamp, register.Fields) {
+			held := f.Read(key)
+			return held.Stamp, held.Fields
+		}, f.Keys(), r.IsCurrent())
+		if err != nil {
+			r.log.Error().Str("event", "view_failed").Err(err).Msg("")
+			return
+		}
+		r.view.Store(v)
+		r.log.Info().Str("event", "view").Uint64("blueprint", v.Version.Version).Int("replicas", len(v.replicas)).Msg("")
+	}
+	r.learnReports(f.Read(reportsKey).Fields)
+	r.backlog.WakeAll()
+}
+
+func (r *Router) learnHolds(e link.Entry) {
+	limit := 10 * time.Minute // the largest cap a blueprint can set; the maker has kept to its own
+	for scope, raw := range e.Fields {
+		var n hold.Notice
+		if register.IsGone(raw) || json.Unmarshal(raw, &n) != nil {
+			continue
+		}
+		n.Scope, n.RemainingMs = scope, n.RemainingMs-e.AgesMs[scope]
+		if r.table.Merge(n, limit) {
+			r.log.Info().Str("event", "hold").Str("scope", scope).Str("mark", n.Mark).Int64("remaining_ms", n.RemainingMs).Msg("")
+		}
+	}
+}
+
+func (r *Router) learnReports(fields register.Fields) {
+	v := r.view.Load()
+	if v == nil {
+		return
+	}
+	for name, raw := range fields {
+		rep := v.replicas[name]
+		var said Report
+		if rep == nil || json.Unmarshal(raw, &said) != nil {
+			continue
+		}
+		before := rep.report.Load()
+		if before != nil && before.Number == said.Number && before.Run == said.Run {
+			continue
+		}
+		if before != nil && before.Run != said.Run {
+			r.index.Forget(name, nil)
+		}
+		rep.report.Store(&report{Report: said, at: time.Now()})
+		rep.sent.Store(0)
+	}
+}
+
+func (r *Router) learnKept(replica string, fields register.Fields, isImage bool) {
+	if isImage {
+		r.index.Forget(replica, nil)
+	}
+	var kept, gone []string
+	for block, raw := range fields {
+		if register.IsGone(raw) {
+			gone = append(gone, block)
+		} else {
+			kept = append(kept, block)
+		}
+	}
+	r.index.Learn(replica, kept)
+	if gone != nil {
+		r.index.Forget(replica, gone)
+	}
+}
+
+// fresh extends the time for which the agent vouches, counted from when the ask was sent (§3.2).
+func (r *Router) fresh(_ *link.Follower, sent time.Time, remaining time.Duration) {
+	until := sent.Add(remaining)
+	if remaining <= 0 {
+		until = time.Time{}
+	}
+	wasCurrent := r.IsCurrent()
+	r.current.Store(&until)
+	if isCurrent := r.IsCurrent(); isCurrent != wasCurrent {
+		r.log.Info().Str("event", "currency").Bool("is_current", isCurrent).Msg("")
+		r.backlog.WakeAll()
+	}
+}
+
+// IsCurrent says whether this router can prove that it knows every accepted change.
+func (r *Router) IsCurrent() bool {
+	until := r.current.Load()
+	return until != nil && r.view.Load() != nil && time.Now().Before(*until)
+}
+
+// IsReady is for the platform's check.
+func (r *Router) IsReady() bool { return r.IsCurrent() && !r.stopping.Load() }
+
+// throttle extends a scope's hold here at once, and has it told to all (§4.2).
+func (r *Router) throttle(x *Exchange, delay time.Duration, reason, raw string) {
+	rule := r.view.Load().hold
+	limit := time.Duration(rule.CapMs) * time.Millisecond
+	n := hold.Notice{
+		Scope: x.item.Scope, Mark: fmt.Sprintf("%s.%s.%d", r.options.Name, r.run, r.marks.Add(1)), Raw: raw,
+		RemainingMs: min(delay, limit).Milliseconds(), Reason: reason, Shot: x.Shot, IsObserved: rule.IsObserve,
+	}
+	r.counts.add("throttles", 1)
+	if !r.table.Merge(n, limit) {
+		return // an equal or longer hold stands here, and was told already
+	}
+	r.log.Info().Str("event", "throttle").Str("scope", n.Scope).Str("request", x.ID).Int64("delay_ms", n.RemainingMs).Str("reason", reason).Msg("")
+	select {
+	case r.reports <- n:
+	default: // a full line means a storm; the local hold stands and others report too
+	}
+}
+
+// tell reports holds to the agent; what cannot be told is tried again while it lasts.
+func (r *Router) tell(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case n := <-r.reports:
+			until := time.Now().Add(time.Duration(n.RemainingMs) * time.Millisecond)
+			for time.Now().Before(until) && ctx.Err() == nil {
+				n.RemainingMs = time.Until(until).Milliseconds()
+				_, err := link.Call[struct{}](ctx, r.wire, r.options.Agent, "/agent/hold", n)
+				if err == nil {
+					break
+				}
+				pause(ctx, 100*time.Millisecond)
+			}
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	schedule := time.NewTimer(d)
+	defer schedule.Stop()
+	select {
+	case <-schedule.C:
+	case <-ctx.Done():
+	}
+}
+
+// Handler serves the callers, through a go-kit endpoint.
+func (r *Router) Handler() http.Handler {
+	serve := func(ctx context.Context, request any) (any, error) {
+		x := request.(*Exchange)
+		r.step(x, Received, "")
+		if err := r.chain(ctx, x); err != nil {
+			r.end(x, err)
+			return nil, err
+		}
+		return x, nil
+	}
+	kit := kithttp.NewServer(serve, r.decode, r.relay, kithttp.ServerErrorEncoder(encodeBounce))
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.open.Add(1)
+		defer r.open.Done()
+		kit.ServeHTTP(w, q)
+	})
+}
+
+// Stop bounces what waits, and returns when the running streams have ended or the context has.
+func (r *Router) Stop(ctx context.Context) {
+	if r.stopping.Swap(true) {
+		return
+	}
+	close(r.draining)
+	ended := make(chan struct{})
+	go func() { r.open.Wait(); close(ended) }()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// encodeBounce also says whether the request ran.
+func encodeBounce(ctx context.Context, err error, w http.ResponseWriter) {
+	f := fail.Of(err)
+	w.Header().Set("X-Ran", string(f.Code.Ran))
+	w.Header().Set("X-Result-Code", fmt.Sprint(f.Code.Number))
+	link.EncodeFailure(ctx, err, w)
+}
--- /dev/null
+++ b/standin/caller.go
@@ -0,0 +1,221 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Asked is a line of the callers' ledger.
+type Asked struct {
+	Tag          string    `json:"tag"`
+	Tenant       string    `json:"tenant"`
+	Access       string    `json:"access"`
+	Kind         string    `json:"kind"`
+	Proxy        string    `json:"proxy"`
+	IsRepeatable bool      `json:"repeatable"`
+	Key          string    `json:"key,omitempty"`
+	At           time.Time `json:"at"`
+	FirstMs      int64     `json:"first_ms"`
+	AllMs        int64     `json:"all_ms"`
+	Status       int       `json:"status"`
+	Code         int       `json:"code"` // of a bounce
+	Ran          string    `json:"ran"`  // what a bounce says
+	AgainMs      int64     `json:"again_ms,omitempty"`
+	Sum          string    `json:"sum"`
+	IsEnded      bool      `json:"ended"` // looks finished to the caller
+	Blueprint    uint64    `json:"blueprint"`
+	Failure      string    `json:"failure,omitempty"`
+}
+
+// Kind is one of the three sorts of streaming request, or "web".
+type Kind struct {
+	Name    string
+	Prefix  int // bytes shared by all requests of the kind and tenant group
+	Own     int // bytes of one's own
+	Pieces  int
+	Weight  int
+	IsKeyed bool
+}
+
+// Kinds are the brief's three, and calls of the web back end.
+var Kinds = []Kind{
+	{Name: "light", Prefix: 512, Own: 128, Pieces: 5, Weight: 40},
+	{Name: "middle", Prefix: 4096, Own: 512, Pieces: 15, Weight: 15},
+	{Name: "heavy", Prefix: 24576, Own: 512, Pieces: 25, Weight: 35},
+	{Name: "web", Weight: 10},
+}
+
+// Caller is one access key's user.
+type Caller struct {
+	Tenant string `json:"tenant"`
+	Access string `json:"access"`
+	Weight int    `json:"weight"`
+}
+
+// LoadOptions of a run of callers.
+type LoadOptions struct {
+	Callers  []Caller
+	Proxies  []string
+	Client   *http.Client
+	Count    int     // requests in all
+	Rate     float64 // requests a second
+	Keyed    float64 // part of the requests that bear a key
+	Repeat   float64 // part that may be repeated
+	Seed     uint64
+	Prefix   string // makes tags unique over runs
+	Ledger   func(Asked)
+	Deadline time.Duration // of each whole request
+}
+
+var words = strings.Fields("ridge karri track creek map summit gate bridge marker valley tenor vowel stress dialect tape reel village elder song river mountain coast north west")
+
+// text makes words from a seed, the same each time.
+func text(size int, seed string) string {
+	h := sha256.Sum256([]byte(seed))
+	random := rand.New(rand.NewChaCha8(h))
+	var b strings.Builder
+	for b.Len() < size {
+		b.WriteString(words[random.IntN(len(words))])
+		b.WriteByte(' ')
+	}
+	return b.String()[:size]
+}
+
+// Load sends the requests at their times and waits for all to end.
+func Load(ctx context.Context, o LoadOptions) {
+	random := rand.New(rand.NewPCG(o.Seed, 7))
+	var all sync.WaitGroup
+	next := time.Now()
+	for i := range o.Count {
+		next = next.Add(time.Duration(random.ExpFloat64() / o.Rate * float64(time.Second)))
+		a := draw(o, random, i)
+		schedule := time.NewTimer(time.Until(next))
+		select {
+		case <-schedule.C:
+		case <-ctx.Done():
+			schedule.Stop()
+			all.Wait()
+			return
+		}
+		all.Go(func() { o.Ledger(ask(ctx, o, a)) })
+	}
+	all.Wait()
+}
+
+type drawn struct {
+	Asked
+	kind Kind
+	body string
+}
+
+func draw(o LoadOptions, random *rand.Rand, i int) drawn {
+	sum := 0
+	for _, c := range o.Callers {
+		sum += c.Weight
+	}
+	pick, caller := random.IntN(sum), o.Callers[0]
+	for _, c := range o.Callers {
+		if pick -= c.Weight; pick < 0 {
+			caller = c
+			break
+		}
+	}
+	pick = random.IntN(100)
+	kind := Kinds[0]
+	for _, k := range Kinds {
+		if pick -= k.Weight; pick < 0 {
+			kind = k
+			break
+		}
+	}
+	d := drawn{kind: kind}
+	d.Tag = fmt.Sprintf("%s-%d", o.Prefix, i)
+	d.Tenant, d.Access, d.Kind = caller.Tenant, caller.Access, kind.Name
+	d.Proxy = o.Proxies[random.IntN(len(o.Proxies))]
+	d.IsRepeatable = random.Float64() < o.Repeat
+	if random.Float64() < o.Keyed {
+		d.Key = "k-" + d.Tag
+	}
+	if kind.Name != "web" {
+		// Three shared openings a kind: one opening serves many tenants.
+		opening := text(kind.Prefix, kind.Name+strconv.Itoa(random.IntN(3)))
+		body, _ := json.Marshal(map[string]any{"model": kind.Name, "stream": true, "max_tokens": kind.Pieces, "messages": []map[string]string{
+			{"role": "system", "content": opening}, {"role": "user", "content": text(kind.Own, d.Tag)}}})
+		d.body = string(body)
+	}
+	return d
+}
+
+// ask sends one request and reads all of its answer.
+func ask(ctx context.Context, o LoadOptions, d drawn) Asked {
+	ctx, stop := context.WithTimeout(ctx, o.Deadline)
+	defer stop()
+	a := d.Asked
+	a.At = time.Now()
+	method, address, body := http.MethodPost, "/v1/chat/completions", io.Reader(bytes.NewReader([]byte(d.body)))
+	if d.Kind == "web" {
+		method, address, body = http.MethodGet, "/web/page/"+strconv.Itoa(len(d.Tag)), nil
+	}
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+a.Proxy+address, body)
+	if err != nil {
+		a.Failure = err.Error()
+		return a
+	}
+	q.GetBody = nil
+	q.Header.Set("Authorization", "Bearer "+a.Access)
+	q.Header.Set("X-Caller-Tag", a.Tag)
+	if a.IsRepeatable {
+		q.Header.Set("X-Repeatable", "yes")
+	}
+	if a.Key != "" {
+		q.Header.Set("Idempotency-Key", a.Key)
+	}
+	answer, err := o.Client.Do(q)
+	if err != nil {
+		a.Failure = err.Error()
+		a.AllMs = time.Since(a.At).Milliseconds()
+		return a
+	}
+	defer answer.Body.Close()
+	a.Status, a.Ran = answer.StatusCode, answer.Header.Get("X-Ran")
+	a.Code, _ = strconv.Atoi(answer.Header.Get("X-Result-Code"))
+	a.Blueprint, _ = strconv.ParseUint(answer.Header.Get("X-Blueprint-Version"), 10, 64)
+	if seconds, err := strconv.Atoi(answer.Header.Get("Retry-After")); err == nil {
+		a.AgainMs = int64(seconds) * 1000
+	}
+	h, tail := sha256.New(), []byte(nil)
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			if a.FirstMs == 0 {
+				a.FirstMs = max(1, time.Since(a.At).Milliseconds())
+			}
+			h.Write(buffer[:n])
+			tail = append(tail, buffer[:n]...)
+			tail = append(tail[:0], tail[max(0, len(tail)-32):]...)
+		}
+		if err == io.EOF {
+			a.IsEnded = true
+			break
+		}
+		if err != nil {
+			a.Failure = err.Error()
+			break
+		}
+	}
+	a.AllMs = time.Since(a.At).Milliseconds()
+	a.Sum = hex.EncodeToString(h.Sum(nil)[:12])
+	return a
+}
--- /dev/null
+++ b/standin/replica.go
@@ -0,0 +1,369 @@
+// Package standin plays the systems outside the fleet: replicas, a web back end, the platform and callers, each with a ledger that
+// the checker compares (docs/design.md §8).
+package standin
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"asterridge/prompt"
+	"asterridge/router"
+)
+
+// ReplicaOptions of a stand-in replica.
+type ReplicaOptions struct {
+	Name    string
+	Kind    string // "model" or "web"
+	Weights string
+	Limit   int
+	Rate    float64 // bytes of prompt read anew per ms
+	PieceMs int
+	LoadMs  int // how long loading weights takes
+	WarmMs  int // how long it is slow after a start or load
+	Blocks  int // how many blocks the KV cache keeps
+	Ledger  func(Run)
+}
+
+// Run is a line of a replica's ledger: a request that came, and whether it ran.
+type Run struct {
+	Replica  string    `json:"replica"`
+	Tag      string    `json:"tag"`
+	Key      string    `json:"key"`
+	Tenant   string    `json:"tenant"`
+	Weights  string    `json:"weights"`
+	Domain   string    `json:"domain"`
+	At       time.Time `json:"at"`
+	HasRun   bool      `json:"ran"`
+	Why      string    `json:"why,omitempty"` // of a refusal
+	Sum      string    `json:"sum,omitempty"` // of the whole answer
+	IsWhole  bool      `json:"whole"`         // the whole answer was written
+	Hit      int       `json:"hit"`           // blocks read from the cache
+	Blocks   int       `json:"blocks"`
+	Foreign  int       `json:"foreign,omitempty"`  // blocks of the cache made for another tenant
+	Outdated int       `json:"outdated,omitempty"` // blocks of the cache made under other weights
+}
+
+// Behaviour is how a replica treats one tenant ("" for all).
+type Behaviour struct {
+	Tenant     string `json:"tenant"`
+	IsRefusing bool   `json:"refuse"`
+	SlowMs     int    `json:"slow_ms"`
+	RetryAfter string `json:"retry_after,omitempty"` // sent with refusals, if set
+	CutAfter   int    `json:"cut_after,omitempty"`   // break streams off after so many pieces
+	IsUnnamed  bool   `json:"unnamed,omitempty"`     // refusals do not name the tenant as their ground
+}
+
+// Replica is a stand-in model replica or web back end.
+type Replica struct {
+	options  ReplicaOptions
+	run      string
+	mu       sync.Mutex
+	weights  string
+	warmAt   time.Time
+	loading  bool
+	running  int
+	number   uint64
+	cache    map[string]*block
+	order    []*block
+	changes  []change
+	dropped  uint64 // changes up to this number are forgotten
+	conducts map[string]Behaviour
+}
+
+type block struct {
+	hash, tenant, domain, weights string
+	number                        uint64
+}
+
+type change struct {
+	number uint64
+	hash   string
+	isGone bool
+}
+
+const maxChanges = 20000
+
+// NewReplica makes a replica that has just started.
+func NewReplica(options ReplicaOptions) *Replica {
+	return &Replica{options: options, run: rand.Text()[:8], weights: options.Weights, number: 1,
+		warmAt: time.Now().Add(time.Duration(options.WarmMs) * time.Millisecond),
+		cache:  map[string]*block{}, conducts: map[string]Behaviour{}}
+}
+
+// Handler serves requests, reports and the controls.
+func (r *Replica) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", r.report)
+	mux.HandleFunc("POST /control", r.control)
+	mux.HandleFunc("POST /weights", r.load)
+	mux.HandleFunc("/", r.serve)
+	return mux
+}
+
+// Behave sets how a tenant is treated.
+func (r *Replica) Behave(b Behaviour) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conducts[b.Tenant] = b
+}
+
+func (r *Replica) control(w http.ResponseWriter, q *http.Request) {
+	var b Behaviour
+	if err := json.NewDecoder(q.Body).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.Behave(b)
+}
+
+// load takes new weights; requests are refused while they load.
+func (r *Replica) load(w http.ResponseWriter, q *http.Request) {
+	var order struct {
+		Weights string `json:"weights"`
+	}
+	if err := json.NewDecoder(q.Body).Decode(&order); err != nil || order.Weights == "" {
+		http.Error(w, "needs weights", http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.loading || r.weights == order.Weights {
+		return
+	}
+	r.loading = true
+	time.AfterFunc(time.Duration(r.options.LoadMs)*time.Millisecond, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.loading, r.weights = false, order.Weights
+		r.warmAt = time.Now().Add(time.Duration(r.options.WarmMs) * time.Millisecond)
+		r.run, r.cache, r.order, r.changes = rand.Text()[:8], map[string]*block{}, nil, nil
+	})
+}
+
+// report tells load, weights and what the cache has got or lost since the number asked from.
+func (r *Replica) report(w http.ResponseWriter, q *http.Request) {
+	from, _ := strconv.ParseUint(q.FormValue("from"), 10, 64)
+	r.mu.Lock()
+	r.number++
+	body := struct {
+		router.Report
+		IsImage bool     `json:"image"`
+		Kept    []string `json:"kept,omitempty"`
+		Dropped []string `json:"dropped,omitempty"`
+	}{Report: router.Report{Run: r.run, Number: r.number, Weights: r.weights, Running: r.running, IsWarm: r.isWarm(), Rate: r.options.Rate}}
+	if r.loading {
+		body.Weights = "loading"
+	}
+	body.IsImage = q.FormValue("run") != r.run || from < r.dropped
+	if body.IsImage {
+		for hash := range r.cache {
+			body.Kept = append(body.Kept, hash)
+		}
+	} else {
+		for _, c := range r.changes {
+			if c.number <= from {
+				continue
+			}
+			if c.isGone {
+				body.Dropped = append(body.Dropped, c.hash)
+			} else {
+				body.Kept = append(body.Kept, c.hash)
+			}
+		}
+	}
+	r.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (r *Replica) isWarm() bool { return time.Now().After(r.warmAt) }
+
+type chat struct {
+	Model    string `json:"model"`
+	Stream   bool   `json:"stream"`
+	Pieces   int    `json:"max_tokens"`
+	Messages []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// bounce refuses a request before any of it ran.
+func (r *Replica) bounce(w http.ResponseWriter, run Run, status int, kind string) {
+	run.Why = kind
+	r.options.Ledger(run)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	fmt.Fprintf(w, `{"error":{"type":%q,"message":"not run"}}`, kind)
+}
+
+func (r *Replica) serve(w http.ResponseWriter, q *http.Request) {
+	raw, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	run := Run{Replica: r.options.Name, Tag: q.Header.Get("X-Caller-Tag"), Key: q.Header.Get("Idempotency-Key"),
+		Tenant: q.Header.Get("X-Tenant"), Domain: q.Header.Get("X-Cache-Domain"), At: time.Now()}
+	id := q.Header.Get("X-Request-Id")
+	var body chat
+	if r.options.Kind == "model" {
+		if err := json.Unmarshal(raw, &body); err != nil {
+			r.bounce(w, run, http.StatusBadRequest, "malformed")
+			return
+		}
+	}
+	r.mu.Lock()
+	run.Weights = r.weights
+	all, own := r.conducts[""], r.conducts[run.Tenant]
+	switch {
+	case r.options.Kind == "model" && (r.loading || q.Header.Get("X-Expect-Weights") != r.weights):
+		r.mu.Unlock()
+		r.bounce(w, run, http.StatusPreconditionFailed, "weights_mismatch")
+		return
+	case own.IsRefusing || all.IsRefusing:
+		r.mu.Unlock()
+		kind := "tenant_throttled"
+		if all.IsRefusing || own.IsUnnamed {
+			kind = "throttled"
+		}
+		if own.RetryAfter != "" {
+			w.Header().Set("Retry-After", own.RetryAfter)
+		}
+		r.bounce(w, run, http.StatusTooManyRequests, kind)
+		return
+	case r.running >= r.options.Limit:
+		r.mu.Unlock()
+		r.bounce(w, run, http.StatusServiceUnavailable, "overloaded")
+		return
+	}
+	r.running++
+	text := ""
+	if r.options.Kind == "model" {
+		parts := make([]string, 0, 2*len(body.Messages))
+		for _, m := range body.Messages {
+			parts = append(parts, m.Role, m.Content)
+		}
+		text = prompt.Text(parts...)
+		r.remember(&run, text)
+	}
+	isWarm := r.isWarm()
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		r.running--
+		r.mu.Unlock()
+	}()
+	run.HasRun = true
+	w.Header().Set("X-Request-Id", id)
+	if r.options.Kind == "web" {
+		sum := sha256.Sum256([]byte(q.URL.Path + id))
+		answer := fmt.Sprintf(`{"page":%q,"mark":%q}`, q.URL.Path, hex.EncodeToString(sum[:8]))
+		run.Sum, run.IsWhole = Sum([]byte(answer)), true
+		r.options.Ledger(run)
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, answer)
+		return
+	}
+	pieces := max(1, body.Pieces)
+	whole := make([][]byte, 0, pieces+1)
+	h := sha256.New()
+	for i := range pieces {
+		word := sha256.Sum256([]byte(id + strconv.Itoa(i)))
+		piece := fmt.Sprintf("data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", id, hex.EncodeToString(word[:6]))
+		whole = append(whole, []byte(piece))
+		h.Write([]byte(piece))
+	}
+	whole = append(whole, []byte("data: [DONE]\n\n"))
+	h.Write(whole[pieces])
+	run.Sum = hex.EncodeToString(h.Sum(nil)[:12])
+	defer func() { r.options.Ledger(run) }()
+	unread := float64(max(0, len(text)-run.Hit*prompt.BlockSize))
+	wait := unread/r.options.Rate + float64(own.SlowMs+all.SlowMs)
+	if !isWarm {
+		wait *= 3
+	}
+	if !rest(q, time.Duration(wait*float64(time.Millisecond))) {
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w)
+	for i, piece := range whole {
+		if cut := max(own.CutAfter, all.CutAfter); cut > 0 && i == cut {
+			panic(http.ErrAbortHandler)
+		}
+		if i > 0 && !rest(q, time.Duration(r.options.PieceMs)*time.Millisecond) {
+			return
+		}
+		if _, err := w.Write(piece); err != nil || flush.Flush() != nil {
+			return
+		}
+	}
+	run.IsWhole = true
+}
+
+// rest waits, unless the request ends before.
+func rest(q *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	schedule := time.NewTimer(d)
+	defer schedule.Stop()
+	select {
+	case <-schedule.C:
+		return true
+	case <-q.Context().Done():
+		return false
+	}
+}
+
+// remember reads what the cache has of the prompt, and keeps all of it; r.mu is held.
+func (r *Replica) remember(run *Run, text string) {
+	chain := prompt.Blocks(run.Domain, text, 256)
+	run.Blocks = len(chain)
+	isHit := true
+	for _, hash := range chain {
+		b := r.cache[hash]
+		isHit = isHit && b != nil
+		if isHit {
+			run.Hit++
+			if b.tenant != run.Tenant {
+				run.Foreign++
+			}
+			if b.weights != r.weights {
+				run.Outdated++
+			}
+		}
+		if b != nil {
+			continue
+		}
+		r.number++
+		b = &block{hash: hash, tenant: run.Tenant, domain: run.Domain, weights: r.weights, number: r.number}
+		r.cache[hash] = b
+		r.order = append(r.order, b)
+		r.changes = append(r.changes, change{r.number, hash, false})
+	}
+	for len(r.order) > r.options.Blocks {
+		old := r.order[0]
+		r.order = r.order[1:]
+		delete(r.cache, old.hash)
+		r.number++
+		r.changes = append(r.changes, change{r.number, old.hash, true})
+	}
+	if over := len(r.changes) - maxChanges; over > 0 {
+		r.dropped = r.changes[over-1].number
+		r.changes = append([]change(nil), r.changes[over:]...)
+	}
+}
+
+// Sum is how ledgers name an answer's content.
+func Sum(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:12])
+}
