--- /dev/null
+++ b/cmd/shell/main.go
@@ -0,0 +1,222 @@
+// Command shell is the operators' language: queries on the fleet's state, and orders.
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"asterridge/daemon"
+	"asterridge/fail"
+	"asterridge/link"
+	"asterridge/router"
+)
+
+const usage = `shell: asks a fleet for its state and orders changes
+
+  shell -cores IP:PORT,… COMMAND     one command
+  shell -cores IP:PORT,…             commands line by line from standard input
+
+Commands (docs/shell.md has the grammar):
+  show THING [where FIELD = VALUE [and …]]   THING: ` + "%s" + `
+  why request ID | why hold SCOPE
+  create|set tenant|pool|path NAME FIELD = VALUE, …      set hold FIELD = VALUE, …
+  remove tenant|pool|path NAME
+  accept weights VERSION for POOL
+  grant key KEY to TENANT | revoke key KEY of TENANT
+  apply FILE [expect VERSION] | merge FILE [expect VERSION]
+  help | quit
+
+Exit: 0 done, 1 bounced, 2 cannot be read, 3 no core answers.
+
+Flags:
+`
+
+func main() {
+	set := flag.NewFlagSet("shell", flag.ExitOnError)
+	cores := set.String("cores", os.Getenv("ASTERRIDGE_CORES"), "`ip:port`s of cores, with commas; also from ASTERRIDGE_CORES")
+	fleet := set.String("fleet", "asterridge", "the fleet's `name`")
+	format := set.String("format", "table", "table or json")
+	explain := func(w io.Writer) {
+		fmt.Fprintf(w, usage, strings.Join(things, " "))
+		set.SetOutput(w)
+		set.PrintDefaults()
+	}
+	set.Usage = func() { explain(os.Stderr) }
+	_ = set.Parse(os.Args[1:])
+	s := &shell{wire: link.NewWire(*fleet, &link.TCP{}), out: os.Stdout, isJSON: *format == "json", explain: explain}
+	for _, core := range strings.Split(*cores, ",") {
+		if core = strings.TrimSpace(core); core != "" {
+			s.cores = append(s.cores, core)
+		}
+	}
+	if *format != "table" && *format != "json" {
+		fmt.Fprintf(os.Stderr, "format: %q is neither table nor json\n", *format)
+		os.Exit(2)
+	}
+	if set.NArg() > 0 {
+		os.Exit(s.line(strings.Join(set.Args(), " ")))
+	}
+	lines, worst := bufio.NewScanner(os.Stdin), 0
+	for lines.Scan() {
+		if strings.TrimSpace(lines.Text()) == "quit" {
+			break
+		}
+		if text := strings.TrimSpace(lines.Text()); text != "" && text[0] != '#' {
+			worst = max(worst, s.line(text))
+		}
+	}
+	os.Exit(worst)
+}
+
+type shell struct {
+	wire    *link.Wire
+	cores   []string
+	out     io.Writer
+	isJSON  bool
+	explain func(io.Writer)
+}
+
+// line runs one command and gives its exit code.
+func (s *shell) line(text string) int {
+	c, err := parse(text)
+	if err == nil && c.file != "" {
+		err = readInto(c)
+	}
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, err)
+		if f := fail.Of(err); f.Code.Number == fail.Syntax.Number && f.At > 0 {
+			fmt.Fprintf(os.Stderr, "  %s\n  %s^\n", text, strings.Repeat(" ", f.At-1))
+		}
+		return 2
+	case c.help:
+		s.explain(s.out)
+		return 0
+	case c.quit:
+		return 0
+	case c.query != nil:
+		a, err := ask[daemon.QueryAnswer](s, "/query", c.query)
+		if err != nil {
+			return s.failed(err)
+		}
+		s.print(a)
+		return 0
+	}
+	a, err := ask[daemon.Accepted](s, "/op/"+c.order, c.body)
+	if err != nil {
+		return s.failed(err)
+	}
+	if s.isJSON {
+		_ = json.NewEncoder(s.out).Encode(a)
+	} else {
+		fmt.Fprintf(s.out, "accepted as version %d\n", a.Version)
+	}
+	return 0
+}
+
+func readInto(c command) error {
+	text, err := os.ReadFile(c.file)
+	if err != nil {
+		return fail.Wrap(err, fail.Syntax, "read file")
+	}
+	if !json.Valid(text) {
+		return fail.New(fail.Malformed, "%s is not JSON", c.file)
+	}
+	c.body.(*daemon.BlueprintOrder).Text = text
+	return nil
+}
+
+func (s *shell) failed(err error) int {
+	if s.isJSON {
+		_ = json.NewEncoder(s.out).Encode(fail.ToBody(err))
+	}
+	fmt.Fprintln(os.Stderr, err)
+	if fail.Is(err, fail.Unreachable) {
+		return 3
+	}
+	return 1
+}
+
+// ask tries the cores in turn until one answers.
+func ask[A any](s *shell, path string, q any) (A, error) {
+	var none A
+	err := error(fail.New(fail.Unreachable, "no core given: use -cores"))
+	for _, core := range s.cores {
+		ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+		var a A
+		a, err = link.Call[A](ctx, s.wire, core, path, q)
+		stop()
+		if err == nil || !fail.Is(err, fail.Unreachable) {
+			return a, err
+		}
+		var timeout interface{ Timeout() bool }
+		if errors.As(err, &timeout) && timeout.Timeout() && strings.HasPrefix(path, "/op/") {
+			return none, fail.New(fail.Undecided, "%v", err) // it may have been taken: not asked of another core
+		}
+	}
+	return none, err
+}
+
+func (s *shell) print(a daemon.QueryAnswer) {
+	if s.isJSON {
+		_ = json.NewEncoder(s.out).Encode(a)
+		return
+	}
+	var columns []string
+	for _, row := range a.Rows {
+		for name := range row {
+			if !slices.Contains(columns, name) {
+				columns = append(columns, name)
+			}
+		}
+	}
+	sort.Slice(columns, func(i, j int) bool { return rank(columns[i]) < rank(columns[j]) })
+	w := tabwriter.NewWriter(s.out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, strings.Join(columns, "\t"))
+	lines := make([]string, 0, len(a.Rows))
+	for _, row := range a.Rows {
+		lines = append(lines, cells(row, columns))
+	}
+	if len(a.Rows) > 0 && a.Rows[0]["at"] == nil { // events come in order of time
+		sort.Strings(lines)
+	}
+	for _, line := range lines {
+		fmt.Fprintln(w, line)
+	}
+	_ = w.Flush()
+	fmt.Fprintf(s.out, "%d rows\n", len(a.Rows))
+	if len(a.Silent) > 0 {
+		fmt.Fprintf(s.out, "no answer from: %s\n", strings.Join(a.Silent, ", "))
+	}
+}
+
+// rank puts names first, and the rest by the alphabet.
+func rank(column string) string {
+	for i, first := range []string{"scope", "request", "name", "key", "replica", "agent", "tenant", "pool"} {
+		if column == first {
+			return string(rune('0' + i))
+		}
+	}
+	return "~" + column
+}
+
+func cells(row router.Row, columns []string) string {
+	all := make([]string, len(columns))
+	for i, name := range columns {
+		if value, isThere := row[name]; isThere {
+			all[i] = fmt.Sprint(value)
+		}
+	}
+	return strings.Join(all, "\t")
+}
--- /dev/null
+++ b/cmd/shell/parse.go
@@ -0,0 +1,322 @@
+package main
+
+import (
+	"encoding/json"
+	"strconv"
+	"strings"
+	"unicode"
+
+	"asterridge/blueprint"
+	"asterridge/daemon"
+	"asterridge/fail"
+)
+
+// command is a parsed line: a query, or an order to one of the cores' endpoints.
+type command struct {
+	query *daemon.Query
+	order string // endpoint below /op/
+	body  any
+	file  string // of apply and merge: read into the order's text
+	help  bool
+	quit  bool
+}
+
+// token is a word, a quoted string or a symbol, with its place in the line.
+type token struct {
+	text     string
+	at       int // from 1
+	isQuoted bool
+	isSymbol bool
+}
+
+func bounce(at int, format string, args ...any) error {
+	f := fail.New(fail.Syntax, format, args...)
+	f.At = at
+	return f
+}
+
+func tokens(line string) ([]token, error) {
+	var all []token
+	for i := 0; i < len(line); {
+		c := line[i]
+		switch {
+		case c == ' ' || c == '\t':
+			i++
+		case c == '"':
+			end := strings.IndexByte(line[i+1:], '"')
+			if end < 0 {
+				return nil, bounce(i+1, "the quote is not closed")
+			}
+			all = append(all, token{text: line[i+1 : i+1+end], at: i + 1, isQuoted: true})
+			i += end + 2
+		case strings.IndexByte("=<>,!", c) >= 0:
+			size := 1
+			if c == '!' {
+				if i+1 >= len(line) || line[i+1] != '=' {
+					return nil, bounce(i+1, "! stands only before =")
+				}
+				size = 2
+			}
+			all = append(all, token{text: line[i : i+size], at: i + 1, isSymbol: true})
+			i += size
+		default:
+			start := i
+			for i < len(line) && strings.IndexByte(" \t\"=<>,!", line[i]) < 0 {
+				i++
+			}
+			all = append(all, token{text: line[start:i], at: start + 1})
+		}
+	}
+	return all, nil
+}
+
+// reader walks over a line's tokens.
+type reader struct {
+	all  []token
+	next int
+	end  int
+}
+
+func (r *reader) isEnd() bool { return r.next == len(r.all) }
+
+func (r *reader) take(what string) (token, error) {
+	if r.isEnd() {
+		return token{at: r.end}, bounce(r.end, "%s is missing", what)
+	}
+	t := r.all[r.next]
+	r.next++
+	return t, nil
+}
+
+// word takes one of the given words.
+func (r *reader) word(words ...string) (string, error) {
+	t, err := r.take(strings.Join(words, " or "))
+	if err != nil {
+		return "", err
+	}
+	for _, w := range words {
+		if t.text == w && !t.isQuoted {
+			return w, nil
+		}
+	}
+	return "", bounce(t.at, "%q stands where %s should", t.text, strings.Join(words, " or "))
+}
+
+// name takes any word or string.
+func (r *reader) name(what string) (string, error) {
+	t, err := r.take(what)
+	if err == nil && t.isSymbol {
+		err = bounce(t.at, "%q is no %s", t.text, what)
+	}
+	return t.text, err
+}
+
+func (r *reader) done() error {
+	if r.isEnd() {
+		return nil
+	}
+	return bounce(r.all[r.next].at, "%q is too much", r.all[r.next].text)
+}
+
+// things are what show knows.
+var things = []string{"tenants", "pools", "paths", "hold", "holds", "proxyholds", "backlog", "replicas", "requests", "counts", "acks", "members", "owners"}
+
+// parse reads one line (grammar: docs/shell.md).
+func parse(line string) (command, error) {
+	all, err := tokens(line)
+	if err != nil {
+		return command{}, err
+	}
+	r := &reader{all: all, end: len(strings.TrimRightFunc(line, unicode.IsSpace)) + 1}
+	verb, err := r.word("show", "why", "create", "set", "remove", "accept", "grant", "revoke", "apply", "merge", "help", "quit")
+	if err != nil {
+		return command{}, err
+	}
+	var c command
+	switch verb {
+	case "help":
+		c.help = true
+	case "quit":
+		c.quit = true
+	case "show":
+		c, err = r.show()
+	case "why":
+		c, err = r.why()
+	case "create", "set":
+		c, err = r.declare(verb)
+	case "remove":
+		c, err = r.remove()
+	case "accept":
+		c, err = r.accept()
+	case "grant":
+		c, err = r.key("to", false)
+	case "revoke":
+		c, err = r.key("of", true)
+	case "apply", "merge":
+		c, err = r.apply(verb == "merge")
+	}
+	if err == nil {
+		err = r.done()
+	}
+	return c, err
+}
+
+func (r *reader) show() (command, error) {
+	what, err := r.word(things...)
+	if err != nil {
+		return command{}, err
+	}
+	q := &daemon.Query{What: what}
+	for first := true; err == nil && !r.isEnd(); first = false {
+		var c daemon.Condition
+		if first {
+			_, err = r.word("where")
+		} else {
+			_, err = r.word("and")
+		}
+		if err == nil {
+			c.Field, err = r.name("field")
+		}
+		if err == nil {
+			c.Is, err = r.word("=", "!=", "<", ">")
+		}
+		if err == nil {
+			c.Value, err = r.name("value")
+		}
+		q.Where = append(q.Where, c)
+	}
+	return command{query: q}, err
+}
+
+func (r *reader) why() (command, error) {
+	kind, err := r.word("request", "hold")
+	if err != nil {
+		return command{}, err
+	}
+	name, err := r.name("name")
+	if kind == "request" {
+		return command{query: &daemon.Query{What: "requests", Name: name}}, err
+	}
+	return command{query: &daemon.Query{What: "proxyholds", Where: []daemon.Condition{{Field: "scope", Is: "=", Value: name}}}}, err
+}
+
+// fields reads NAME = VALUE, … as JSON members.
+func (r *reader) fields(into map[string]any) error {
+	for {
+		name, err := r.name("field")
+		if err != nil {
+			return err
+		}
+		if _, err := r.word("="); err != nil {
+			return err
+		}
+		value, err := r.take("value")
+		if err != nil {
+			return err
+		}
+		if value.isSymbol {
+			return bounce(value.at, "%q is no value", value.text)
+		}
+		into[name] = value.text
+		if number, isBad := strconv.ParseFloat(value.text, 64); isBad == nil && !value.isQuoted {
+			into[name] = number
+		} else if value.text == "true" && !value.isQuoted {
+			into[name] = true
+		} else if value.text == "false" && !value.isQuoted {
+			into[name] = false
+		}
+		if r.isEnd() || r.all[r.next].text != "," {
+			return nil
+		}
+		r.next++
+	}
+}
+
+func partial(doc any, named string) command {
+	raw, _ := json.Marshal(doc) // maps of plain values always encode
+	return command{order: "blueprint", body: &daemon.BlueprintOrder{Text: raw, IsPartial: true, Named: named}}
+}
+
+func (r *reader) declare(verb string) (command, error) {
+	words := []string{"tenant", "pool", "path"}
+	named := "new"
+	if verb == "set" {
+		words, named = append(words, "hold"), "known"
+	}
+	kind, err := r.word(words...)
+	if err != nil {
+		return command{}, err
+	}
+	if kind == "hold" {
+		hold := map[string]any{}
+		err := r.fields(hold)
+		return partial(map[string]any{"hold": hold}, ""), err
+	}
+	item := map[string]any{}
+	if item["name"], err = r.name("name"); err == nil && (verb == "set" || !r.isEnd()) {
+		err = r.fields(item)
+	}
+	return partial(map[string]any{kind + "s": []any{item}}, named), err
+}
+
+func (r *reader) remove() (command, error) {
+	kind, err := r.word("tenant", "pool", "path")
+	if err != nil {
+		return command{}, err
+	}
+	name, err := r.name("name")
+	return partial(map[string]any{"remove": map[string]any{kind + "s": []string{name}}}, ""), err
+}
+
+func (r *reader) accept() (command, error) {
+	if _, err := r.word("weights"); err != nil {
+		return command{}, err
+	}
+	version, err := r.name("version")
+	if err != nil {
+		return command{}, err
+	}
+	if _, err := r.word("for"); err != nil {
+		return command{}, err
+	}
+	pool, err := r.name("pool")
+	return partial(map[string]any{"pools": []any{map[string]any{"name": pool, "weights": version}}}, "known"), err
+}
+
+func (r *reader) key(link string, isRevoked bool) (command, error) {
+	if _, err := r.word("key"); err != nil {
+		return command{}, err
+	}
+	key, err := r.name("key")
+	if err != nil {
+		return command{}, err
+	}
+	if _, err := r.word(link); err != nil {
+		return command{}, err
+	}
+	tenant, err := r.name("tenant")
+	return command{order: "keys", body: &daemon.KeyOrder{Tenant: tenant, Hash: blueprint.HashKey(key), IsRevoked: isRevoked}}, err
+}
+
+func (r *reader) apply(isPartial bool) (command, error) {
+	file, err := r.name("file")
+	if err != nil {
+		return command{}, err
+	}
+	o := &daemon.BlueprintOrder{IsPartial: isPartial}
+	if !r.isEnd() {
+		if _, err := r.word("expect"); err != nil {
+			return command{}, err
+		}
+		t, err := r.take("version")
+		if err != nil {
+			return command{}, err
+		}
+		version, bad := strconv.ParseUint(t.text, 10, 64)
+		if bad != nil {
+			return command{}, bounce(t.at, "%q is no version", t.text)
+		}
+		o.Expect = &version
+	}
+	return command{order: "blueprint", body: o, file: file}, nil
+}
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -19,7 +19,7 @@
 	Text      json.RawMessage `json:"text"`
 	IsPartial bool            `json:"partial"`
 	Expect    *uint64         `json:"expect,omitempty"` // the version that the operator saw
-	IsFresh   bool            `json:"fresh,omitempty"`  // the things named must not exist yet
+	Named     string          `json:"named,omitempty"`  // "new": what is named must not exist yet; "known": it must
 }
 
 // Accepted is the answer to a change that a majority has.
@@ -41,8 +41,10 @@
 			return nil, err
 		}
 		fields := made.Fields()
-		if o.IsFresh && len(fields) == len(now) {
+		if isNew := len(fields) > len(now); o.Named == "new" && !isNew && len(now) > 0 {
 			return nil, fail.New(fail.Exists, "a thing of this name is there already")
+		} else if o.Named == "known" && isNew {
+			return nil, fail.New(fail.NotFound, "nothing has this name")
 		}
 		return blueprint.Delta(now, fields), nil
 	})
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"sort"
 	"sync"
+	"time"
 
 	"asterridge/disk"
 	"asterridge/fail"
@@ -14,6 +15,7 @@
 const (
 	shardCount = 64
 	maxDeltas  = 64
+	turnWait   = time.Second
 )
 
 // Keeper is what one core's disk has promised and accepted (§2.2).
@@ -29,11 +31,35 @@
 	keys map[string]*entry
 }
 
+// entry is one key. Whoever writes to the disk has the turn; mu is held only to read or set the record, never over a disk's time.
 type entry struct {
+	turn   chan struct{}
+	files  []string // version files on disk, oldest first; with the turn
+	weight int      // bytes of deltas since the last whole; with the turn
 	mu     sync.Mutex
 	record Record
-	files  []string // version files on disk, oldest first
-	weight int      // bytes of deltas since the last whole
+}
+
+func newEntry() *entry { return &entry{turn: make(chan struct{}, 1)} }
+
+// begin takes the turn; a disk that stalls for too long bounces those behind.
+func (e *entry) begin() error {
+	schedule := time.NewTimer(turnWait)
+	defer schedule.Stop()
+	select {
+	case e.turn <- struct{}{}:
+		return nil
+	case <-schedule.C:
+		return fail.New(fail.DiskFailed, "an earlier write stalls")
+	}
+}
+
+func (e *entry) end() { <-e.turn }
+
+func (e *entry) read() Record {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.record
 }
 
 // Record is a keeper's state of one key.
@@ -99,7 +125,7 @@
 		return nil, err
 	}
 	sort.Strings(names)
-	e := &entry{}
+	e := newEntry()
 	for _, name := range names {
 		var epoch uint64
 		if n, _ := fmt.Sscanf(name, "p.%016x", &epoch); n == 1 {
@@ -143,7 +169,7 @@
 	defer s.mu.Unlock()
 	e := s.keys[key]
 	if e == nil {
-		e = &entry{}
+		e = newEntry()
 		s.keys[key] = e
 	}
 	return e
@@ -176,59 +202,59 @@
 
 // Unsettled says whether the key has content not known to be on a majority.
 func (k *Keeper) Unsettled(key string) bool {
-	e := k.entry(key)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return !e.record.IsSettled()
+	return !k.entry(key).read().IsSettled()
 }
 
 // Promise swears off all epochs below; the answer bears the fields only if the asker lacks them.
 func (k *Keeper) Promise(key string, epoch uint64, has Stamp) (Record, error) {
 	e := k.entry(key)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if epoch <= e.record.Promised {
-		return Record{}, e.superseded(epoch)
+	if err := e.begin(); err != nil {
+		return Record{}, err
+	}
+	defer e.end()
+	now := e.read()
+	if epoch <= now.Promised {
+		return Record{}, superseded(epoch, now)
 	}
-	folder, old := folderOf(key), e.record.Promised
+	folder := folderOf(key)
 	if err := k.disk.Put(folder, fmt.Sprintf("p.%016x", epoch), []byte("{}")); err != nil {
 		return Record{}, err
 	}
-	_ = k.disk.Drop(folder, fmt.Sprintf("p.%016x", old)) // an old promise left behind does no harm
+	_ = k.disk.Drop(folder, fmt.Sprintf("p.%016x", now.Promised)) // an old promise left behind does no harm
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.record.Promised = epoch
 	answer := e.record
-	if has.Less(e.record.Stamp) {
+	if answer.Fields = nil; has.Less(answer.Stamp) {
 		answer.Fields = e.record.Fields.Clone()
-	} else {
-		answer.Fields = nil
 	}
 	return answer, nil
 }
 
 // superseded tells the asker, in At, which epoch it has to exceed.
-func (e *entry) superseded(epoch uint64) error {
-	f := fail.New(fail.Superseded, "epoch %d, promised %d", epoch, e.record.Promised)
-	f.At = int(e.record.Promised)
+func superseded(epoch uint64, now Record) error {
+	f := fail.New(fail.Superseded, "epoch %d, promised %d", epoch, now.Promised)
+	f.At = int(now.Promised)
 	return f
 }
 
 // Accept takes a change if no higher epoch was promised and its base is here, or it is whole.
 func (k *Keeper) Accept(change Change) error {
 	e := k.entry(change.Key)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if change.Next.Epoch < e.record.Promised {
-		return e.superseded(change.Next.Epoch)
-	}
-	if !e.record.Stamp.Less(change.Next) {
-		// A late copy: what is here came later, or is the same, under the same epoch.
-		if e.record.Stamp.Epoch == change.Next.Epoch {
-			return nil
-		}
-		return fail.New(fail.Superseded, "a later stamp is here")
+	if err := e.begin(); err != nil {
+		return err
 	}
-	if !change.IsWhole && change.Base != e.record.Stamp {
-		return fail.New(fail.Behind, "has %v, base %v", e.record.Stamp, change.Base)
+	defer e.end()
+	now := e.read()
+	switch {
+	case change.Next.Epoch < now.Promised:
+		return superseded(change.Next.Epoch, now)
+	case !now.Stamp.Less(change.Next) && now.Stamp.Epoch == change.Next.Epoch:
+		return nil // a late copy: what is here is the same, or came later under the same epoch
+	case !now.Stamp.Less(change.Next):
+		return superseded(change.Next.Epoch, now)
+	case !change.IsWhole && change.Base != now.Stamp:
+		return fail.New(fail.Behind, "has %v, base %v", now.Stamp, change.Base)
 	}
 	return k.store(e, change)
 }
@@ -236,26 +262,25 @@
 // Adopt takes settled content learned from another core (§2.4).
 func (k *Keeper) Adopt(key string, stamp Stamp, fields Fields) error {
 	e := k.entry(key)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.record.Stamp.Less(stamp) {
-		k.settle(e, key, stamp)
+	if err := e.begin(); err != nil {
+		return err
+	}
+	defer e.end()
+	if !e.read().Stamp.Less(stamp) {
+		k.Settle(key, stamp)
 		return nil
 	}
 	return k.store(e, Change{Key: key, Next: stamp, IsWhole: true, Fields: fields, Settled: stamp})
 }
 
+// store writes a change and then shows it; the caller has the turn, so the fields do not move meanwhile.
 func (k *Keeper) store(e *entry, change Change) error {
-	fields := e.record.Fields
-	if fields == nil || change.IsWhole {
-		fields = Fields{}
-	}
+	old := e.read().Fields
 	written := change
 	e.weight += weigh(change.Fields)
-	if !change.IsWhole && (len(e.files) == 0 || len(e.files) >= maxDeltas || e.weight > weigh(fields)+4096) {
-		whole := fields.Clone()
-		whole.Apply(change.Fields)
-		written.IsWhole, written.Fields = true, whole
+	if !change.IsWhole && (len(e.files) == 0 || len(e.files) >= maxDeltas || e.weight > weigh(old)+4096) {
+		written.IsWhole, written.Fields = true, old.Clone()
+		written.Fields.Apply(change.Fields)
 	}
 	data, err := json.Marshal(written)
 	if err != nil {
@@ -266,14 +291,19 @@
 		return err
 	}
 	if written.IsWhole {
-		for _, old := range e.files {
-			_ = k.disk.Drop(folder, old) // loading skips what a whole outdates
+		for _, name := range e.files {
+			_ = k.disk.Drop(folder, name) // loading skips what a whole outdates
 		}
 		e.files, e.weight = nil, 0
 	}
 	e.files = append(e.files, nameOf(change.Next))
-	fields.Apply(change.Fields)
-	e.record.Fields, e.record.Stamp = fields, change.Next
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.record.Fields == nil || change.IsWhole {
+		e.record.Fields = Fields{}
+	}
+	e.record.Fields.Apply(change.Fields)
+	e.record.Stamp = change.Next
 	e.record.Promised = max(e.record.Promised, change.Next.Epoch)
 	if e.record.Settled.Less(change.Settled) {
 		e.record.Settled = change.Settled
@@ -295,10 +325,6 @@
 	e := k.entry(key)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	k.settle(e, key, stamp)
-}
-
-func (k *Keeper) settle(e *entry, key string, stamp Stamp) {
 	if e.record.Settled.Less(stamp) {
 		e.record.Settled = stamp
 		k.news(key, e.record, nil, false)
@@ -307,16 +333,10 @@
 
 // Stamp gives the accepted stamp of a key.
 func (k *Keeper) Stamp(key string) Stamp {
-	e := k.entry(key)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.record.Stamp
+	return k.entry(key).read().Stamp
 }
 
 // Promised gives the highest epoch promised for a key.
 func (k *Keeper) Promised(key string) uint64 {
-	e := k.entry(key)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.record.Promised
+	return k.entry(key).read().Promised
 }
--- a/register/owner.go
+++ b/register/owner.go
@@ -150,17 +150,11 @@
 func (o *Owner) take(ctx context.Context, key string, k *owned) error {
 	epoch := (max(k.seen, o.options.Keeper.Promised(key))>>8+1)<<8 | uint64(o.options.ID())
 	k.seen = epoch
-	own, err := o.options.Keeper.Promise(key, epoch, Stamp{})
-	if err != nil && !fail.Is(err, fail.DiskFailed) {
-		return fail.Wrap(err, fail.NoMajority, "take "+key)
-	}
-	count := 0
-	if err == nil {
-		count++
-	}
+	own := o.options.Keeper.Read(key)
 	best, settled := own, own.Settled
 	var refusal error
-	answers := gather(o.options.Partners(), func(p Partner) (Record, error) { return p.Promise(ctx, key, epoch, own.Stamp) })
+	count := 0
+	answers := gather(o.everyone(), func(p Partner) (Record, error) { return p.Promise(ctx, key, epoch, own.Stamp) })
 	for count < o.majority() {
 		a, isOpen := <-answers
 		if !isOpen {
@@ -209,7 +203,7 @@
 		return struct{}{}, err
 	}
 	count := 0
-	answers := gather(append([]Partner{local{o.options.Keeper}}, o.options.Partners()...), ask)
+	answers := gather(o.everyone(), ask)
 	var refusal error
 	for count < o.majority() {
 		a, isOpen := <-answers
@@ -242,6 +236,11 @@
 	return nil
 }
 
+// everyone is this core's own keeper and those of the other members.
+func (o *Owner) everyone() []Partner {
+	return append([]Partner{local{o.options.Keeper}}, o.options.Partners()...)
+}
+
 func (o *Owner) majority() int { return o.options.Members()/2 + 1 }
 
 // Owns lists the keys held now with their epochs.
--- /dev/null
+++ b/sim/disk.go
@@ -0,0 +1,154 @@
+package sim
+
+import (
+	"errors"
+	"sort"
+	"sync"
+	"time"
+
+	"asterridge/disk"
+	"asterridge/fail"
+)
+
+// Disk is a machine's disk: it outlives the processes that use it.
+type Disk struct {
+	mu      sync.Mutex
+	folders map[string]map[string][]byte // sealed files
+	life    int
+	delay   time.Duration
+	isFull  bool
+	stall   chan struct{} // not nil: writes wait until it is closed
+	Writes  int
+}
+
+// NewDisk makes an empty disk.
+func NewDisk() *Disk { return &Disk{folders: map[string]map[string][]byte{}} }
+
+// Slow gives each write a delay.
+func (d *Disk) Slow(delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.delay = delay
+}
+
+// Fill makes writes fail, or work again.
+func (d *Disk) Fill(isFull bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.isFull = isFull
+}
+
+// Stall holds writes back until the function that it gives is called.
+func (d *Disk) Stall() (release func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	stall := make(chan struct{})
+	d.stall = stall
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.stall = nil
+		close(stall)
+	}
+}
+
+// Wipe loses all files.
+func (d *Disk) Wipe() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.folders = map[string]map[string][]byte{}
+}
+
+// Spoil changes a file's bytes behind the program's back.
+func (d *Disk) Spoil(folder, name string, change func([]byte) []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.folders[folder] == nil {
+		d.folders[folder] = map[string][]byte{}
+	}
+	d.folders[folder][name] = change(d.folders[folder][name])
+}
+
+// Open gives the disk to a new process; the handle of the process before stops working.
+func (d *Disk) Open() disk.Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.life++
+	return &handle{d, d.life}
+}
+
+type handle struct {
+	disk *Disk
+	life int
+}
+
+var errDead = errors.New("this process is dead")
+
+// locked runs with the disk locked, if the process still lives.
+func (h *handle) locked(do func() error) error {
+	h.disk.mu.Lock()
+	defer h.disk.mu.Unlock()
+	if h.life != h.disk.life {
+		return fail.Wrap(errDead, fail.DiskFailed, "disk")
+	}
+	return do()
+}
+
+func (h *handle) Put(folder, name string, data []byte) error {
+	h.disk.mu.Lock()
+	delay, stall := h.disk.delay, h.disk.stall
+	h.disk.mu.Unlock()
+	if stall != nil {
+		<-stall
+	}
+	if delay > 0 {
+		time.Sleep(delay) // the disk's own time, in the bubble's fake clock
+	}
+	return h.locked(func() error {
+		if h.disk.isFull {
+			return fail.New(fail.DiskFailed, "no space left")
+		}
+		if h.disk.folders[folder] == nil {
+			h.disk.folders[folder] = map[string][]byte{}
+		}
+		h.disk.folders[folder][name] = disk.Seal(data)
+		h.disk.Writes++
+		return nil
+	})
+}
+
+func (h *handle) Get(folder, name string) (data []byte, err error) {
+	err = h.locked(func() error {
+		sealed, isThere := h.disk.folders[folder][name]
+		if !isThere {
+			return fail.New(fail.NotFound, "no file %s/%s", folder, name)
+		}
+		data, err = disk.Open(sealed)
+		return err
+	})
+	return data, err
+}
+
+func (h *handle) List(folder string) (names []string, err error) {
+	err = h.locked(func() error {
+		if folder == "" {
+			for name := range h.disk.folders {
+				names = append(names, name)
+			}
+		} else {
+			for name := range h.disk.folders[folder] {
+				names = append(names, name)
+			}
+		}
+		sort.Strings(names)
+		return nil
+	})
+	return names, err
+}
+
+func (h *handle) Drop(folder, name string) error {
+	return h.locked(func() error {
+		delete(h.disk.folders[folder], name)
+		return nil
+	})
+}
--- /dev/null
+++ b/sim/fleet.go
@@ -0,0 +1,312 @@
+package sim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"asterridge/blueprint"
+	"asterridge/daemon"
+	"asterridge/link"
+	"asterridge/standin"
+)
+
+// FleetOptions of a simulated fleet.
+type FleetOptions struct {
+	Cores, Proxies, Replicas int
+	Seed                     uint64
+	Blueprint                string
+	Tenants                  []string // each gets the access key NAME-key
+	Log                      zerolog.Logger
+	Replica                  standin.ReplicaOptions // what all replicas share
+}
+
+// Fleet is cores, agents, proxies and stand-ins in one bubble.
+type Fleet struct {
+	Options  FleetOptions
+	Net      *Network
+	Disks    []*Disk
+	Replicas map[string]*standin.Replica
+	Wire     *link.Wire
+	Client   *http.Client
+
+	mu      sync.Mutex
+	kills   map[string]context.CancelFunc // by host
+	running sync.WaitGroup
+	Proxies []*daemon.Proxy
+	Ledgers standin.Ledgers
+}
+
+// The hosts' numbers.
+func CoreIP(i int) string    { return fmt.Sprintf("10.0.0.%d", i+1) }
+func ProxyIP(i int) string   { return fmt.Sprintf("10.0.1.%d", i+1) }
+func ReplicaIP(i int) string { return fmt.Sprintf("10.0.2.%d", i+1) }
+
+// CallerIP is where callers and operators sit.
+const CallerIP = "10.0.9.1"
+
+// At gives the address of a host's main port.
+func At(ip string) string { return ip + ":7000" }
+
+const fleetName = "sim"
+
+// NewFleet makes the network and the disks, and starts all daemons and stand-ins.
+func NewFleet(o FleetOptions) *Fleet {
+	f := &Fleet{Options: o, Net: NewNetwork(time.Millisecond), Replicas: map[string]*standin.Replica{}, kills: map[string]context.CancelFunc{},
+		Proxies: make([]*daemon.Proxy, o.Proxies)}
+	outside := f.Net.Host(CallerIP)
+	f.Wire = link.NewWire(fleetName, outside)
+	f.Client = &http.Client{Transport: &http.Transport{DialContext: outside.DialContext, MaxIdleConnsPerHost: 256}}
+	for range o.Cores {
+		f.Disks = append(f.Disks, NewDisk())
+	}
+	for i := range o.Cores {
+		f.StartCore(i)
+	}
+	for i := range o.Replicas {
+		f.StartReplica(i)
+	}
+	for i := range o.Proxies {
+		f.StartPair(i)
+	}
+	return f
+}
+
+// launch runs a daemon on a host until the host is killed.
+func (f *Fleet) launch(ip string, run func(ctx context.Context)) {
+	f.mu.Lock()
+	ctx, kill := context.WithCancel(context.Background())
+	f.kills[ip] = kill
+	f.mu.Unlock()
+	f.running.Go(func() { run(ctx) })
+}
+
+// Kill ends all processes of a host at once.
+func (f *Fleet) Kill(ip string) {
+	f.mu.Lock()
+	kill := f.kills[ip]
+	f.mu.Unlock()
+	f.Net.Crash(ip)
+	if kill != nil {
+		kill()
+	}
+	f.Net.Crash(ip)
+}
+
+func (f *Fleet) place(name, ip, zone string) daemon.Place {
+	return daemon.Place{Name: name, Fleet: fleetName, Zone: zone, Address: At(ip), Net: f.Net.Host(ip), Log: f.Options.Log.With().Str("daemon", name).Logger()}
+}
+
+func must[T any](value T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return value
+}
+
+// StartCore starts a core on its disk.
+func (f *Fleet) StartCore(i int) {
+	p := f.place(fmt.Sprintf("core-%d", i+1), CoreIP(i), fmt.Sprintf("zone-%d", i+1))
+	for j := range f.Options.Cores {
+		if j != i {
+			p.Seeds = append(p.Seeds, At(CoreIP(j)))
+		}
+	}
+	core := must(daemon.NewCore(p, f.Disks[i].Open()))
+	listener := must(p.Net.Listen(p.Address))
+	f.launch(CoreIP(i), func(ctx context.Context) { _ = core.Serve(ctx, listener) })
+}
+
+// StartPair starts a machine's agent and proxy.
+func (f *Fleet) StartPair(i int) {
+	ip := ProxyIP(i)
+	p := f.place(fmt.Sprintf("agent-%d", i+1), ip, fmt.Sprintf("zone-%d", i%4+1))
+	for j := range min(3, f.Options.Cores) {
+		p.Seeds = append(p.Seeds, At(CoreIP(j)))
+	}
+	agent := daemon.NewAgent(p)
+	local, outer := must(p.Net.Listen(ip+":7001")), must(p.Net.Listen(p.Address))
+	q := p
+	q.Name, q.Log = fmt.Sprintf("proxy-%d", i+1), f.Options.Log.With().Str("daemon", fmt.Sprintf("proxy-%d", i+1)).Logger()
+	proxy := daemon.NewProxy(q, daemon.ProxyOptions{Agent: ip + ":7001", Admin: ip + ":7003", Grace: time.Second, Seed: f.Options.Seed})
+	callers, admin := must(p.Net.Listen(ip+":7002")), must(p.Net.Listen(ip+":7003"))
+	f.mu.Lock()
+	f.Proxies[i] = proxy
+	f.mu.Unlock()
+	f.launch(ip, func(ctx context.Context) {
+		var both sync.WaitGroup
+		both.Go(func() { _ = agent.Serve(ctx, local, outer) })
+		both.Go(func() { _ = proxy.Serve(ctx, callers, admin) })
+		both.Wait()
+	})
+}
+
+// ReplicaName names replica i of pool "pool".
+func ReplicaName(i int) string { return fmt.Sprintf("pool-%d", i+1) }
+
+// StartReplica starts a stand-in replica.
+func (f *Fleet) StartReplica(i int) {
+	o := f.Options.Replica
+	o.Name = ReplicaName(i)
+	o.Ledger = func(r standin.Run) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.Ledgers.Runs = append(f.Ledgers.Runs, r)
+	}
+	r := standin.NewReplica(o)
+	f.mu.Lock()
+	f.Replicas[o.Name] = r
+	f.mu.Unlock()
+	ip := ReplicaIP(i)
+	listener := must(f.Net.Host(ip).Listen(At(ip)))
+	f.launch(ip, func(ctx context.Context) {
+		server := &http.Server{Handler: r.Handler()}
+		go func() { <-ctx.Done(); _ = server.Close() }()
+		_ = server.Serve(listener)
+	})
+}
+
+// Order sends a change to a core.
+func (f *Fleet) Order(core int, name string, q any) (daemon.Accepted, error) {
+	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	defer stop()
+	a, err := link.Call[daemon.Accepted](ctx, f.Wire, At(CoreIP(core)), "/op/"+name, q)
+	if err == nil && name == "blueprint" {
+		f.Fact("blueprint", "", fmt.Sprint(a.Version))
+	}
+	return a, err
+}
+
+// Query asks a core for rows.
+func (f *Fleet) Query(core int, what string) (daemon.QueryAnswer, error) {
+	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+	defer stop()
+	return link.Call[daemon.QueryAnswer](ctx, f.Wire, At(CoreIP(core)), "/query", daemon.Query{What: what})
+}
+
+// Fact notes what the fleet was told and accepted.
+func (f *Fleet) Fact(kind, name, value string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Ledgers.Facts = append(f.Ledgers.Facts, standin.Fact{Kind: kind, Name: name, Value: value, At: time.Now()})
+}
+
+// Declare waits for the fleet to be founded and gives it its blueprint, keys and replicas.
+func (f *Fleet) Declare() {
+	f.Until(10*time.Second, "a founded fleet takes the blueprint", func() bool {
+		_, err := f.Order(0, "blueprint", daemon.BlueprintOrder{Text: json.RawMessage(f.Options.Blueprint)})
+		return err == nil
+	})
+	for _, tenant := range f.Options.Tenants {
+		must(f.Order(0, "keys", daemon.KeyOrder{Tenant: tenant, Hash: blueprint.HashKey(tenant + "-key")}))
+	}
+	var told []string
+	for i := range f.Options.Replicas {
+		told = append(told, fmt.Sprintf(`{"name":%q,"address":%q,"pool":"pool","zone":"zone-%d","limit":%d}`, ReplicaName(i), At(ReplicaIP(i)), i%4+1, f.Options.Replica.Limit))
+	}
+	must(f.Order(0, "replicas", daemon.ReplicasOrder{Text: json.RawMessage(`{"replicas":[` + strings.Join(told, ",") + `]}`)}))
+	f.Until(10*time.Second, "all proxies are ready", f.AreReady)
+	time.Sleep(time.Second) // replicas have reported, and the proxies know of each other
+}
+
+// AreReady says whether every proxy serves.
+func (f *Fleet) AreReady() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.Proxies {
+		if !p.Router.IsReady() {
+			return false
+		}
+	}
+	return true
+}
+
+// Until waits in fake time for something to become so, and panics if it does not.
+func (f *Fleet) Until(limit time.Duration, what string, isSo func() bool) time.Duration {
+	began := time.Now()
+	for !isSo() {
+		if time.Since(began) > limit {
+			panic("not within " + limit.String() + ": " + what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// ProxyAddress is where callers reach a proxy.
+func ProxyAddress(i int) string { return ProxyIP(i) + ":7002" }
+
+// Load has callers ask while it runs; it ends when all have their answers.
+func (f *Fleet) Load(count int, rate float64, callers []standin.Caller, seed uint64) []standin.Asked {
+	var proxies []string
+	for i := range f.Proxies {
+		proxies = append(proxies, ProxyAddress(i))
+	}
+	var mu sync.Mutex
+	var all []standin.Asked
+	standin.Load(context.Background(), standin.LoadOptions{Callers: callers, Proxies: proxies, Client: f.Client, Count: count, Rate: rate,
+		Keyed: 0.3, Repeat: 0.2, Seed: seed, Prefix: fmt.Sprintf("s%d", seed), Deadline: time.Minute, Ledger: func(a standin.Asked) {
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, a)
+		}})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Ledgers.Asked = append(f.Ledgers.Asked, all...)
+	return all
+}
+
+// Ask sends one chat by hand and gives status, result code and body.
+func (f *Fleet) Ask(proxy int, tenant, key, body string) (status int, code, text string) {
+	q := must(http.NewRequest(http.MethodPost, "http://"+ProxyAddress(proxy)+"/v1/chat/completions", bytes.NewReader([]byte(body))))
+	q.Header.Set("Authorization", "Bearer "+tenant+"-key")
+	if key != "" {
+		q.Header.Set("Idempotency-Key", key)
+	}
+	q.Header.Set("X-Caller-Tag", key)
+	answer, err := f.Client.Do(q)
+	if err != nil {
+		return 0, "", err.Error()
+	}
+	defer answer.Body.Close()
+	var all bytes.Buffer
+	_, err = all.ReadFrom(answer.Body)
+	if err != nil {
+		return answer.StatusCode, answer.Header.Get("X-Result-Code"), "broken off: " + err.Error()
+	}
+	return answer.StatusCode, answer.Header.Get("X-Result-Code"), all.String()
+}
+
+// Check compares the ledgers.
+func (f *Fleet) Check() []standin.Finding {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return standin.Check(f.Ledgers)
+}
+
+// Stop ends everything, so that the bubble can end.
+func (f *Fleet) Stop() {
+	f.mu.Lock()
+	kills := f.kills
+	f.mu.Unlock()
+	for _, kill := range kills {
+		kill()
+	}
+	f.running.Wait()
+	f.Net.mu.Lock()
+	var left []*conn
+	for c := range f.Net.conns {
+		left = append(left, c)
+	}
+	f.Net.mu.Unlock()
+	for _, c := range left {
+		c.reset()
+	}
+}
--- /dev/null
+++ b/sim/fleet_test.go
@@ -0,0 +1,87 @@
+package sim
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"asterridge/router"
+	"asterridge/standin"
+)
+
+const plan = `{"tenants":[{"name":"a","backlog":500},{"name":"b","walled":true},{"name":"c"}],
+ "pools":[{"name":"pool","weights":"w1"}],
+ "paths":[{"name":"light","address":"/v1/chat/completions","model":"light","pool":"pool"},
+  {"name":"middle","address":"/v1/chat/completions","model":"middle","pool":"pool","cost":2},
+  {"name":"heavy","address":"/v1/chat/completions","model":"heavy","pool":"pool","cost":4}]}`
+
+var callers = []standin.Caller{{Tenant: "a", Access: "a-key", Weight: 2}, {Tenant: "b", Access: "b-key", Weight: 1}, {Tenant: "c", Access: "c-key", Weight: 1}}
+
+func options(seed uint64) FleetOptions {
+	return FleetOptions{Cores: 4, Proxies: 3, Replicas: 4, Seed: seed, Blueprint: plan, Tenants: []string{"a", "b", "c"}, Log: zerolog.Nop(),
+		Replica: standin.ReplicaOptions{Kind: "model", Weights: "w1", Limit: 12, Rate: 100, PieceMs: 5, LoadMs: 1000, WarmMs: 500, Blocks: 2000}}
+}
+
+// inBubble runs a whole fleet in fake time.
+func inBubble(t *testing.T, o FleetOptions, play func(is *is.I, f *Fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := NewFleet(o)
+		defer f.Stop()
+		f.Declare()
+		play(is.New(t), f)
+	})
+}
+
+// noBreach wants zero of every rule.
+func noBreach(is *is.I, f *Fleet) {
+	is.Helper()
+	for _, finding := range f.Check() {
+		if finding.Count > 0 {
+			is.Equal(finding, standin.Finding{Rule: finding.Rule, Name: finding.Name})
+		}
+	}
+}
+
+func whole(all []standin.Asked) int {
+	n := 0
+	for _, a := range all {
+		if a.Status == 200 && a.IsEnded {
+			n++
+		}
+	}
+	return n
+}
+
+func TestOrdinaryTrafficIsServedWhole(t *testing.T) {
+	inBubble(t, options(1), func(is *is.I, f *Fleet) {
+		all := f.Load(300, 30, callers, 1)
+		is.True(whole(all) >= 260) // a tenth are calls of a web back end that this plan lacks
+		noBreach(is, f)
+	})
+}
+
+func TestOneThrottledTenantIsHeldByEveryProxy(t *testing.T) {
+	inBubble(t, options(2), func(is *is.I, f *Fleet) {
+		for _, r := range f.Replicas {
+			r.Behave(standin.Behaviour{Tenant: "a", IsRefusing: true, RetryAfter: "3"})
+		}
+		began := time.Now()
+		status, code, _ := f.Ask(0, "a", "", `{"model":"light","stream":true,"max_tokens":2,"messages":[{"role":"user","content":"x"}]}`)
+		_ = status
+		_ = code
+		spread := time.Since(began)
+		for _, p := range f.Proxies {
+			rows, err := p.Router.Rows(t.Context(), holdsQuery)
+			is.NoErr(err)
+			is.Equal(len(rows), 1)
+			is.Equal(rows[0]["scope"], "a")
+		}
+		t.Log("spread", spread)
+	})
+}
+
+var holdsQuery = router.Query{What: "holds"}
--- /dev/null
+++ b/sim/network.go
@@ -0,0 +1,415 @@
+// Package sim is the test network, the test disk and a whole fleet on them, for runs inside testing/synctest bubbles: the daemons' own
+// code, fake time, seeded faults (docs/design.md §8).
+package sim
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// Network joins hosts by IP number. Cuts hold pieces back, as a network that loses packets does, until they are mended.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     map[*conn]bool
+	cuts      map[[2]string]bool
+	delays    map[[2]string]time.Duration
+	Delay     time.Duration // of every piece
+	news      chan struct{} // closed when cuts change
+}
+
+// NewNetwork makes a network without faults.
+func NewNetwork(delay time.Duration) *Network {
+	return &Network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, cuts: map[[2]string]bool{},
+		delays: map[[2]string]time.Duration{}, Delay: delay, news: make(chan struct{})}
+}
+
+func host(address string) string {
+	h, _, _ := net.SplitHostPort(address)
+	return h
+}
+
+func (n *Network) changed() {
+	close(n.news)
+	n.news = make(chan struct{})
+}
+
+// Cut stops what goes from one host to another; Mend lets it flow again. "" stands for every host.
+func (n *Network) Cut(from, to string) { n.setCut(from, to, true) }
+
+// Mend undoes Cut.
+func (n *Network) Mend(from, to string) { n.setCut(from, to, false) }
+
+func (n *Network) setCut(from, to string, isCut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{from, to}] = isCut
+	n.changed()
+}
+
+// Part cuts two groups of hosts from each other, both ways; isCut false mends.
+func (n *Network) Part(a, b []string, isCut bool) {
+	for _, x := range a {
+		for _, y := range b {
+			n.setCut(x, y, isCut)
+			n.setCut(y, x, isCut)
+		}
+	}
+}
+
+// Slow sets the delay from one host to another.
+func (n *Network) Slow(from, to string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delays[[2]string{from, to}] = d
+}
+
+// isCut also gives the channel that tells of changes, and the delay.
+func (n *Network) isCut(from, to string) (bool, chan struct{}, time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	isCut := n.cuts[[2]string{from, to}] || n.cuts[[2]string{"", to}] || n.cuts[[2]string{from, ""}]
+	delay, isSet := n.delays[[2]string{from, to}]
+	if !isSet {
+		delay = n.Delay
+	}
+	return isCut, n.news, delay
+}
+
+// Crash resets all connections of a host and shuts its ports, as a killed process does.
+func (n *Network) Crash(ip string) {
+	n.mu.Lock()
+	var ended []*conn
+	for c := range n.conns {
+		if c.local == ip || c.remote == ip {
+			ended = append(ended, c)
+		}
+	}
+	var shut []*listener
+	for address, l := range n.listeners {
+		if host(address) == ip {
+			shut = append(shut, l)
+		}
+	}
+	n.mu.Unlock()
+	for _, l := range shut {
+		_ = l.Close()
+	}
+	for _, c := range ended {
+		c.reset()
+	}
+}
+
+// Host is one machine's side of the network.
+type Host struct {
+	network *Network
+	IP      string
+}
+
+// Host gives the side of an IP number.
+func (n *Network) Host(ip string) *Host { return &Host{n, ip} }
+
+type listener struct {
+	network *Network
+	address string
+	line    chan *conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// Listen opens a port of this host.
+func (h *Host) Listen(address string) (net.Listener, error) {
+	n := h.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[address] != nil {
+		return nil, errors.New("address in use: " + address)
+	}
+	l := &listener{network: n, address: address, line: make(chan *conn, 128), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l, nil
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.line:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[l.address] == l {
+			delete(l.network.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return addr(l.address) }
+
+func addr(address string) net.Addr {
+	a, _ := net.ResolveTCPAddr("tcp", address)
+	return a
+}
+
+// DialContext connects; over a cut it hangs until the cut is mended or the context ends.
+func (h *Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	n := h.network
+	failed := func(err error) error { return &net.OpError{Op: "dial", Net: "tcp", Addr: addr(address), Err: err} }
+	for {
+		there, thereNews, delay := n.isCut(h.IP, host(address))
+		back, _, _ := n.isCut(host(address), h.IP)
+		if !there && !back {
+			if err := wait(ctx, 2*delay, nil); err != nil {
+				return nil, failed(err)
+			}
+			break
+		}
+		if err := wait(ctx, time.Hour, thereNews); err != nil {
+			return nil, failed(err)
+		}
+	}
+	n.mu.Lock()
+	l := n.listeners[address]
+	if l == nil {
+		n.mu.Unlock()
+		return nil, failed(errors.New("connection refused"))
+	}
+	there, back := newPipe(n, h.IP, host(address)), newPipe(n, host(address), h.IP)
+	near := &conn{network: n, local: h.IP, remote: host(address), in: back, out: there, remoteAddress: address}
+	far := &conn{network: n, local: host(address), remote: h.IP, in: there, out: back, remoteAddress: h.IP + ":0"}
+	n.conns[near], n.conns[far] = true, true
+	n.mu.Unlock()
+	select {
+	case l.line <- far:
+		return near, nil
+	case <-l.closed:
+		return nil, failed(errors.New("connection refused"))
+	case <-ctx.Done():
+		return nil, failed(ctx.Err())
+	}
+}
+
+func wait(ctx context.Context, d time.Duration, news chan struct{}) error {
+	schedule := time.NewTimer(d)
+	defer schedule.Stop()
+	select {
+	case <-schedule.C:
+	case <-news:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return ctx.Err()
+}
+
+// pipe is one direction of a connection.
+type pipe struct {
+	network  *Network
+	from, to string
+	mu       sync.Mutex
+	pieces   []piece
+	size     int
+	isShut   bool // by the writer
+	isReset  bool
+	news     chan struct{}
+}
+
+type piece struct {
+	data []byte
+	at   time.Time
+}
+
+const pipeSize = 256 << 10
+
+func newPipe(n *Network, from, to string) *pipe {
+	return &pipe{network: n, from: from, to: to, news: make(chan struct{})}
+}
+
+func (p *pipe) changed() {
+	close(p.news)
+	p.news = make(chan struct{})
+}
+
+var errReset = errors.New("connection reset by peer")
+
+func (p *pipe) read(b []byte, deadline func() time.Time) (int, error) {
+	for {
+		isCut, mended, _ := p.network.isCut(p.from, p.to)
+		p.mu.Lock()
+		if p.isReset {
+			p.mu.Unlock()
+			return 0, &net.OpError{Op: "read", Net: "tcp", Err: errReset}
+		}
+		now := time.Now()
+		pause := time.Hour
+		if !isCut && len(p.pieces) > 0 {
+			first := &p.pieces[0]
+			if !now.Before(first.at) {
+				n := copy(b, first.data)
+				if first.data = first.data[n:]; len(first.data) == 0 {
+					p.pieces = p.pieces[1:]
+				}
+				p.size -= n
+				p.changed()
+				p.mu.Unlock()
+				return n, nil
+			}
+			pause = first.at.Sub(now)
+		} else if !isCut && p.isShut {
+			p.mu.Unlock()
+			return 0, io.EOF
+		}
+		news := p.news
+		p.mu.Unlock()
+		if err := p.rest(pause, deadline, news, mended); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// rest waits for news, a mended cut, the pause or the deadline.
+func (p *pipe) rest(pause time.Duration, deadline func() time.Time, news, mended chan struct{}) error {
+	if end := deadline(); !end.IsZero() {
+		left := time.Until(end)
+		if left <= 0 {
+			return os.ErrDeadlineExceeded
+		}
+		pause = min(pause, left)
+	}
+	schedule := time.NewTimer(pause)
+	defer schedule.Stop()
+	select {
+	case <-schedule.C:
+	case <-news:
+	case <-mended:
+	}
+	return nil
+}
+
+func (p *pipe) write(b []byte, deadline func() time.Time) (int, error) {
+	sent := 0
+	for sent < len(b) {
+		_, mended, delay := p.network.isCut(p.from, p.to)
+		p.mu.Lock()
+		if p.isReset || p.isShut {
+			p.mu.Unlock()
+			return sent, &net.OpError{Op: "write", Net: "tcp", Err: errReset}
+		}
+		if room := pipeSize - p.size; room > 0 {
+			n := min(room, len(b)-sent)
+			at := time.Now().Add(delay)
+			if len(p.pieces) > 0 && at.Before(p.pieces[len(p.pieces)-1].at) {
+				at = p.pieces[len(p.pieces)-1].at
+			}
+			p.pieces = append(p.pieces, piece{append([]byte(nil), b[sent:sent+n]...), at})
+			p.size += n
+			sent += n
+			p.changed()
+			p.mu.Unlock()
+			continue
+		}
+		news := p.news
+		p.mu.Unlock()
+		if err := p.rest(time.Hour, deadline, news, mended); err != nil {
+			return sent, err
+		}
+	}
+	return sent, nil
+}
+
+// conn is one end of a connection.
+type conn struct {
+	network       *Network
+	local, remote string
+	remoteAddress string
+	in, out       *pipe
+	mu            sync.Mutex
+	readBy        time.Time
+	writeBy       time.Time
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	return c.in.read(b, func() time.Time { return c.deadline(&c.readBy) })
+}
+func (c *conn) Write(b []byte) (int, error) {
+	return c.out.write(b, func() time.Time { return c.deadline(&c.writeBy) })
+}
+
+func (c *conn) deadline(which *time.Time) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return *which
+}
+
+// Close shuts the way out and gives up what comes in.
+func (c *conn) Close() error {
+	c.network.mu.Lock()
+	delete(c.network.conns, c)
+	c.network.mu.Unlock()
+	c.out.mu.Lock()
+	if !c.out.isShut {
+		c.out.isShut = true
+		c.out.changed()
+	}
+	c.out.mu.Unlock()
+	c.in.abort()
+	return nil
+}
+
+func (c *conn) reset() {
+	c.network.mu.Lock()
+	delete(c.network.conns, c)
+	c.network.mu.Unlock()
+	c.in.abort()
+	c.out.abort()
+}
+
+func (p *pipe) abort() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isReset {
+		p.isReset = true
+		p.changed()
+	}
+}
+
+func (c *conn) LocalAddr() net.Addr  { return addr(c.local + ":0") }
+func (c *conn) RemoteAddr() net.Addr { return addr(c.remoteAddress) }
+
+func (c *conn) SetDeadline(t time.Time) error {
+	_ = c.SetReadDeadline(t)
+	return c.SetWriteDeadline(t)
+}
+
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.readBy = t
+	c.mu.Unlock()
+	c.in.poke()
+	return nil
+}
+
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.writeBy = t
+	c.mu.Unlock()
+	c.out.poke()
+	return nil
+}
+
+func (p *pipe) poke() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changed()
+}
