Approved transcripts of whole exchanges; a test that nothing is resent by net/http

Cause: net/http's Transport resends a request with an idempotency header when a reused connection dies. Conclusion: the body reader without GetBody stays, under test.

--- /dev/null
+++ b/sim/exchange_test.go
@@ -0,0 +1,185 @@
+package sim
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"asterridge/blueprint"
+	"asterridge/daemon"
+	"asterridge/standin"
+)
+
+var isApproving = flag.Bool("approve", false, "write the transcripts anew")
+
+var changing = regexp.MustCompile(`[A-Z2-7]{26}|"content":"[0-9a-f]{12}"|"again_ms":[0-9]+`)
+
+// approve compares a transcript with the approved one.
+func approve(t *testing.T, name, text string) {
+	t.Helper()
+	text = changing.ReplaceAllString(text, "…")
+	path := filepath.Join("testdata", name+".txt")
+	if *isApproving {
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(want) != text {
+		t.Errorf("transcript %s differs; go test -approve after reading it.\nhas:\n%s\nwants:\n%s", name, text, want)
+	}
+}
+
+// exchange writes down one whole exchange with a proxy.
+func (f *Fleet) exchange(proxy int, method, address string, header map[string]string, body string) string {
+	q := must(http.NewRequest(method, "http://"+ProxyAddress(proxy)+address, strings.NewReader(body)))
+	var out strings.Builder
+	fmt.Fprintf(&out, "> %s %s\n", method, address)
+	for _, name := range []string{"Authorization", "Idempotency-Key", "X-Repeatable", "X-Deadline-Ms"} {
+		if value, isSet := header[name]; isSet {
+			q.Header.Set(name, value)
+			fmt.Fprintf(&out, "> %s: %s\n", name, value)
+		}
+	}
+	if len(body) > 200 {
+		body = fmt.Sprintf("(%d bytes)", len(body))
+	}
+	fmt.Fprintf(&out, "> %s\n", body)
+	answer, err := f.Client.Do(q)
+	if err != nil {
+		fmt.Fprintf(&out, "< no answer\n\n")
+		return out.String()
+	}
+	defer answer.Body.Close()
+	fmt.Fprintf(&out, "< %s\n", answer.Status)
+	for _, name := range []string{"Content-Type", "Retry-After", "X-Ran", "X-Result-Code", "X-Shots"} {
+		if value := answer.Header.Get(name); value != "" {
+			fmt.Fprintf(&out, "< %s: %s\n", name, value)
+		}
+	}
+	var text bytes.Buffer
+	_, err = io.Copy(&text, answer.Body)
+	fmt.Fprintf(&out, "< %s\n", strings.ReplaceAll(strings.TrimSpace(text.String()), "\n", "\n< "))
+	if err != nil {
+		fmt.Fprintf(&out, "< (broken off)\n")
+	}
+	return out.String() + "\n"
+}
+
+func bearer(tenant string, more ...string) map[string]string {
+	h := map[string]string{"Authorization": "Bearer " + tenant + "-key"}
+	for i := 0; i+1 < len(more); i += 2 {
+		h[more[i]] = more[i+1]
+	}
+	return h
+}
+
+const chatAddress = "/v1/chat/completions"
+
+func TestTranscriptOfWholeExchanges(t *testing.T) {
+	inBubble(t, options(3), func(is *is.I, f *Fleet) {
+		var out strings.Builder
+		say := func(title, exchange string) { fmt.Fprintf(&out, "# %s\n%s", title, exchange) }
+		say("a stream", f.exchange(0, "POST", chatAddress, bearer("a"), chat("light")))
+		say("no key", f.exchange(0, "POST", chatAddress, nil, chat("light")))
+		say("an unknown key", f.exchange(0, "POST", chatAddress, bearer("nobody"), chat("light")))
+		say("an unknown model", f.exchange(0, "POST", chatAddress, bearer("a"), chat("other")))
+		say("a body that is not JSON", f.exchange(0, "POST", chatAddress, bearer("a"), "{"))
+		say("a body without messages", f.exchange(0, "POST", chatAddress, bearer("a"), `{"model":"light"}`))
+		say("a body over the path's bound", f.exchange(0, "POST", chatAddress, bearer("a"), chat("light")+strings.Repeat(" ", 1<<20)))
+		say("a deadline that is no number", f.exchange(0, "POST", chatAddress, bearer("a", "X-Deadline-Ms", "soon"), chat("light")))
+		say("a caller's key", f.exchange(0, "POST", chatAddress, bearer("a", "Idempotency-Key", "k1"), chat("light")))
+		time.Sleep(time.Second)
+		say("the same key again, by another proxy", f.exchange(1, "POST", chatAddress, bearer("a", "Idempotency-Key", "k1"), chat("light")))
+		say("the same key of another tenant", f.exchange(1, "POST", chatAddress, bearer("c", "Idempotency-Key", "k1"), chat("light")))
+		for _, r := range f.Replicas {
+			r.Behave(standin.Behaviour{Tenant: "a", IsRefusing: true, RetryAfter: "40"})
+		}
+		say("throttled for longer than the request may wait", f.exchange(0, "POST", chatAddress, bearer("a"), chat("light")))
+		time.Sleep(200 * time.Millisecond)
+		say("held by another proxy too, at once", f.exchange(2, "POST", chatAddress, bearer("a"), chat("light")))
+		say("another tenant is not held", f.exchange(2, "POST", chatAddress, bearer("c"), chat("light")))
+		for _, r := range f.Replicas {
+			r.Behave(standin.Behaviour{Tenant: "c", CutAfter: 1})
+		}
+		say("a stream that the replica breaks off", f.exchange(0, "POST", chatAddress, bearer("c", "Idempotency-Key", "k2"), chat("light")))
+		time.Sleep(time.Second)
+		say("its key again", f.exchange(1, "POST", chatAddress, bearer("c", "Idempotency-Key", "k2"), chat("light")))
+		must(f.Order(0, "keys", daemon.KeyOrder{Tenant: "b", Hash: blueprint.HashKey("b-key"), IsRevoked: true}))
+		time.Sleep(time.Second)
+		say("a revoked key", f.exchange(0, "POST", chatAddress, bearer("b"), chat("light")))
+		approve(t, "exchanges", out.String())
+		noBreach(is, f)
+	})
+}
+
+// evil is a replica that answers reports and its first request, and from then on reads each request and drops the connection.
+type evil struct {
+	requests atomic.Int64
+	good     int64
+}
+
+func (e *evil) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if q.URL.Path == "/report" {
+		fmt.Fprintf(w, `{"run":"e","number":%d,"weights":"w1","warm":true,"rate":100}`, time.Now().UnixMilli())
+		return
+	}
+	_, _ = io.Copy(io.Discard, q.Body)
+	if e.requests.Add(1) <= e.good {
+		w.Header().Set("X-Request-Id", q.Header.Get("X-Request-Id"))
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{}`)
+		return
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// replaceReplicas puts one handler in the place of all replicas.
+func (f *Fleet) replaceReplicas(handler http.Handler) (stop func()) {
+	ip := "10.0.3.1"
+	listener := must(f.Net.Host(ip).Listen(At(ip)))
+	server := &http.Server{Handler: handler}
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Serve(listener) })
+	news := []string{fmt.Sprintf(`{"name":"evil","address":%q,"pool":"pool"}`, At(ip))}
+	for i := range f.Options.Replicas {
+		news = append(news, fmt.Sprintf(`{"name":%q,"state":"gone"}`, ReplicaName(i)))
+	}
+	must(f.Order(0, "replicas", daemon.ReplicasOrder{Text: json.RawMessage(`{"replicas":[` + strings.Join(news, ",") + `]}`)}))
+	time.Sleep(2 * time.Second)
+	return func() { _ = server.Close(); running.Wait() }
+}
+
+// net/http resends by itself on a reused connection if it thinks a request replayable: with a key, that would be a second run.
+func TestNothingIsResentOnAConnectionThatDiesAfterReading(t *testing.T) {
+	inBubble(t, options(4), func(is *is.I, f *Fleet) {
+		e := &evil{good: 1}
+		defer f.replaceReplicas(e)()
+		status, _, _ := f.Ask(0, "a", "first", chat("light"))
+		is.Equal(status, 200)
+		status, code, _ := f.Ask(0, "a", "second", chat("light"))
+		is.Equal(status, 502)
+		is.Equal(code, "220") // outcome unknown, never "not run"
+		is.Equal(e.requests.Load(), int64(2))
+		status, code, _ = f.Ask(1, "a", "second", chat("light"))
+		is.Equal(status, 409)
+		is.Equal(code, "223")
+		is.Equal(e.requests.Load(), int64(2))
+	})
+}
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -300,13 +300,6 @@
 		kill()
 	}
 	f.running.Wait()
-	f.Net.mu.Lock()
-	var left []*conn
-	for c := range f.Net.conns {
-		left = append(left, c)
-	}
-	f.Net.mu.Unlock()
-	for _, c := range left {
-		c.reset()
-	}
+	f.Net.End()
+	time.Sleep(time.Minute) // what was let loose comes to its own end
 }
--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,19 +70,36 @@
 		for _, r := range f.Replicas {
 			r.Behave(standin.Behaviour{Tenant: "a", IsRefusing: true, RetryAfter: "3"})
 		}
-		began := time.Now()
-		status, code, _ := f.Ask(0, "a", "", `{"model":"light","stream":true,"max_tokens":2,"messages":[{"role":"user","content":"x"}]}`)
-		_ = status
-		_ = code
-		spread := time.Since(began)
-		for _, p := range f.Proxies {
-			rows, err := p.Router.Rows(t.Context(), holdsQuery)
-			is.NoErr(err)
-			is.Equal(len(rows), 1)
-			is.Equal(rows[0]["scope"], "a")
+		go f.Ask(0, "a", "", chat("light"))
+		spread := f.Until(time.Second, "every proxy holds a", func() bool { return f.holding("a") == 3 })
+		is.True(spread < 100*time.Millisecond)
+		for _, r := range f.Replicas {
+			r.Behave(standin.Behaviour{Tenant: "a"})
 		}
-		t.Log("spread", spread)
+		began := time.Now()
+		status, _, _ := f.Ask(1, "a", "", chat("light"))
+		is.Equal(status, 200)
+		is.True(time.Since(began) > 2500*time.Millisecond) // it waited for the common moment
+		status, _, _ = f.Ask(2, "b", "", chat("light"))
+		is.Equal(status, 200)
+		noBreach(is, f)
 	})
 }
 
-var holdsQuery = router.Query{What: "holds"}
+func chat(kind string) string {
+	return `{"model":"` + kind + `","stream":true,"max_tokens":2,"messages":[{"role":"user","content":"where does the track begin"}]}`
+}
+
+// holding counts the proxies that hold a scope.
+func (f *Fleet) holding(scope string) int {
+	n := 0
+	for _, p := range f.Proxies {
+		rows, _ := p.Router.Rows(context.Background(), router.Query{What: "holds"})
+		for _, row := range rows {
+			if row["scope"] == scope {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/sim/network.go
+++ b/sim/network.go
@@ -20,6 +20,7 @@
 	cuts      map[[2]string]bool
 	delays    map[[2]string]time.Duration
 	Delay     time.Duration // of every piece
+	isOver    bool          // the run has ended: nobody connects any more
 	news      chan struct{} // closed when cuts change
 }
 
@@ -105,6 +106,22 @@
 	}
 }
 
+// End resets every connection and lets nobody connect again.
+func (n *Network) End() {
+	n.mu.Lock()
+	n.isOver = true
+	var left []*conn
+	for c := range n.conns {
+		left = append(left, c)
+	}
+	n.cuts = map[[2]string]bool{}
+	n.changed()
+	n.mu.Unlock()
+	for _, c := range left {
+		c.reset()
+	}
+}
+
 // Host is one machine's side of the network.
 type Host struct {
 	network *Network
@@ -182,7 +199,7 @@
 	}
 	n.mu.Lock()
 	l := n.listeners[address]
-	if l == nil {
+	if l == nil || n.isOver {
 		n.mu.Unlock()
 		return nil, failed(errors.New("connection refused"))
 	}
