--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"sort"
-	"strconv"
 	"sync"
 	"time"
 
@@ -366,7 +365,7 @@
 	step := func() {
 		short, stop := context.WithTimeout(ctx, reportLimit)
 		defer stop()
-		body, err := a.report(short, r, last)
+		body, err := askReport(short, a.plain, a.dialect, r, last)
 		if err != nil || ctx.Err() != nil {
 			return
 		}
@@ -388,23 +387,6 @@
 	every(ctx, reportStep, step)
 }
 
-func (a *Agent) report(ctx context.Context, r blueprint.Replica, last router.Report) (reportBody, error) {
-	var body reportBody
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Address+a.dialect.ReportPath()+"?run="+last.Run+"&from="+strconv.FormatUint(last.Number, 10), nil)
-	if err != nil {
-		return body, fail.Wrap(err, fail.Settings, "replica address")
-	}
-	answer, err := a.plain.Do(q)
-	if err != nil {
-		return body, fail.Wrap(err, fail.Unreachable, "report")
-	}
-	defer answer.Body.Close()
-	if answer.StatusCode != http.StatusOK {
-		return body, fail.New(fail.Unreachable, "report: %s", answer.Status)
-	}
-	return body, fail.Wrap(json.NewDecoder(answer.Body).Decode(&body), fail.Malformed, "report")
-}
-
 // tellHold passes a throttle on to the scope's owner.
 func (a *Agent) tellHold(ctx context.Context, n hold.Notice) (struct{}, error) {
 	a.table.Merge(n, longestHold)
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -162,6 +162,7 @@
 	defer stop()
 	go c.found(ctx)
 	go every(ctx, beatTime, func() { c.beat(ctx) })
+	go c.runDuties(ctx)
 	c.place.Log.Info().Str("event", "core_up").Str("address", c.place.Address).Str("incarnation", c.incarnation).Msg("")
 	return serve(ctx, listener, c.handler(), time.Second)
 }
@@ -185,6 +186,7 @@
 	op(mux, c, "replicas", func(ReplicasOrder) string { return blueprint.ReplicasKey }, c.orderReplicas, true)
 	op(mux, c, "claim", func(o ClaimOrder) string { return claimGroup(o) }, c.orderClaim, true)
 	op(mux, c, "hold", func(n hold.Notice) string { return holdPrefix + n.Scope }, c.orderHold, true)
+	op(mux, c, "term", func(o TermOrder) string { return termPrefix + o.Duty }, c.orderTerm, false)
 	op(mux, c, "settle", func(o SettleOrder) string { return o.Key }, c.orderSettle, true)
 	return mux
 }
--- /dev/null
+++ b/daemon/duties.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/fail"
+	"asterridge/link"
+	"asterridge/register"
+	"asterridge/router"
+	"asterridge/term"
+)
+
+const (
+	termPrefix   = "term/"
+	termLength   = 3 * time.Second
+	rolloutStep  = 400 * time.Millisecond
+	rolloutHurry = 9 * time.Second // after this all replicas that are left are told at once
+)
+
+// TermOrder writes a duty's holder if the version is the expected one.
+type TermOrder struct {
+	Duty   string `json:"duty"`
+	Holder string `json:"holder"`
+	Expect uint64 `json:"expect"`
+}
+
+func (c *Core) orderTerm(ctx context.Context, o TermOrder) (Accepted, error) {
+	stamp, err := c.owner.Change(ctx, termPrefix+o.Duty, func(_ register.Fields, version uint64) (register.Fields, error) {
+		if version != o.Expect {
+			return nil, fail.New(fail.Conflict, "expected version %d, present is %d", o.Expect, version)
+		}
+		return blueprint.Field("holder", o.Holder), nil
+	})
+	return Accepted{stamp.Version}, err
+}
+
+// board lets the terms of this core's duties be written in registers.
+type board struct{ core *Core }
+
+func (b board) Read(duty string) (holder string, version uint64) {
+	record := b.core.keeper.Read(termPrefix + duty)
+	_ = json.Unmarshal(record.Fields["holder"], &holder) // nobody yet: empty
+	return holder, record.Stamp.Version
+}
+
+func (b board) Take(ctx context.Context, duty, holder string, expect uint64) (uint64, error) {
+	a, err := link.Call[Accepted](ctx, b.core.wire, b.core.place.Address, "/op/term", TermOrder{duty, holder, expect})
+	return a.Version, err
+}
+
+// rollout is the duty of having the pools' replicas load the accepted weights (§6.2).
+type rollout struct {
+	core    *Core
+	seat    *term.Seat
+	plain   *http.Client
+	dialect router.Dialect
+	since   map[string]time.Time // pool and weights → when this process first met them
+}
+
+// runDuties steps this core's seats, and does the duties that it holds.
+func (c *Core) runDuties(ctx context.Context) {
+	r := &rollout{core: c, dialect: router.ChatDialect{}, since: map[string]time.Time{},
+		plain: &http.Client{Transport: &http.Transport{DialContext: c.place.Net.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}},
+		seat: term.New(term.Options{Duty: "rollout", Holder: c.place.Name + "." + c.incarnation + "." + c.whole.Run(), Length: termLength,
+			Margin: termLength / 8, Board: board{c}, Log: c.place.Log}),
+	}
+	go every(ctx, time.Minute, func() { c.pruneClaims(ctx) })
+	go every(ctx, termLength/5, func() {
+		if c.self.Load() != nil {
+			r.seat.Step(ctx)
+		}
+	})
+	every(ctx, rolloutStep, func() { r.step(ctx) })
+}
+
+// step looks at each pool, and tells some replicas to load.
+func (r *rollout) step(ctx context.Context) {
+	if _, isOurs := r.seat.Holds(); !isOurs {
+		return
+	}
+	record := r.core.keeper.Read(blueprint.Key)
+	plan, err := blueprint.FromFields(record.Fields)
+	if err != nil || !record.IsSettled() {
+		return
+	}
+	replicas, err := blueprint.Load[blueprint.Replica](r.core.keeper.Read(blueprint.ReplicasKey).Fields)
+	if err != nil {
+		return
+	}
+	for name, pool := range plan.Pools {
+		if pool.Kind == "model" && pool.Weights != "" {
+			r.roll(ctx, name, pool.Weights, replicas, record.Stamp.Version)
+		}
+	}
+}
+
+func (r *rollout) roll(ctx context.Context, pool, weights string, replicas map[string]blueprint.Replica, order uint64) {
+	var behind []blueprint.Replica
+	all, busy := 0, 0
+	for _, replica := range replicas {
+		if replica.Pool != pool || replica.State == "leaving" {
+			continue
+		}
+		short, stop := context.WithTimeout(ctx, reportLimit)
+		said, err := askReport(short, r.plain, r.dialect, replica, router.Report{})
+		stop()
+		if err != nil {
+			continue
+		}
+		all++
+		switch said.Weights {
+		case weights:
+		case router.Loading:
+			busy++
+		default:
+			behind = append(behind, replica)
+		}
+	}
+	if len(behind) == 0 {
+		return
+	}
+	at := pool + "\x00" + weights
+	if r.since[at].IsZero() {
+		r.since[at] = time.Now()
+	}
+	room := max(1, all/3) - busy
+	if time.Since(r.since[at]) > rolloutHurry {
+		room = len(behind)
+	}
+	for _, replica := range behind[:max(0, min(room, len(behind)))] {
+		number, isOurs := r.seat.Holds()
+		if !isOurs {
+			return
+		}
+		err := postJSON(ctx, r.plain, replica.Address+r.dialect.LoadPath(), map[string]any{"weights": weights, "order": order})
+		r.core.place.Log.Info().Str("event", "load_weights").Str("replica", replica.Name).Str("weights", weights).
+			Uint64("order", order).Uint64("term", number).AnErr("failure", err).Msg("")
+	}
+}
--- /dev/null
+++ b/daemon/outside.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"asterridge/blueprint"
+	"asterridge/fail"
+	"asterridge/router"
+)
+
+// askReport asks a replica for its load, and for what its cache has got or lost since the last report.
+func askReport(ctx context.Context, client *http.Client, dialect router.Dialect, r blueprint.Replica, last router.Report) (reportBody, error) {
+	var body reportBody
+	address := "http://" + r.Address + dialect.ReportPath() + "?run=" + last.Run + "&from=" + strconv.FormatUint(last.Number, 10)
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return body, fail.Wrap(err, fail.Settings, "replica address")
+	}
+	answer, err := client.Do(q)
+	if err != nil {
+		return body, fail.Wrap(err, fail.Unreachable, "report")
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return body, fail.New(fail.Unreachable, "report: %s", answer.Status)
+	}
+	return body, fail.Wrap(json.NewDecoder(answer.Body).Decode(&body), fail.Malformed, "report")
+}
+
+// postJSON sends a small order to a replica.
+func postJSON(ctx context.Context, client *http.Client, address string, order any) error {
+	raw, err := json.Marshal(order)
+	if err != nil {
+		return fail.Wrap(err, fail.Internal, "encode order")
+	}
+	short, stop := context.WithTimeout(ctx, reportLimit)
+	defer stop()
+	q, err := http.NewRequestWithContext(short, http.MethodPost, "http://"+address, bytes.NewReader(raw))
+	if err != nil {
+		return fail.Wrap(err, fail.Settings, "replica address")
+	}
+	answer, err := client.Do(q)
+	if err != nil {
+		return fail.Wrap(err, fail.Unreachable, "order")
+	}
+	_ = answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fail.New(fail.Unreachable, "order: %s", answer.Status)
+	}
+	return nil
+}
--- a/link/source.go
+++ b/link/source.go
@@ -98,6 +98,9 @@
 	}
 }
 
+// Run names this life of the source.
+func (s *Source) Run() string { return s.run }
+
 // Put takes a change of a key; a whole one also takes away fields that it does not have.
 func (s *Source) Put(key string, stamp, settled register.Stamp, change register.Fields, isWhole bool) {
 	s.mu.Lock()
--- a/router/dialect.go
+++ b/router/dialect.go
@@ -36,6 +36,7 @@
 	AnswerID(r *http.Response) string
 	IsEnd(tail []byte) bool
 	ReportPath() string
+	LoadPath() string
 }
 
 // ChatDialect speaks the widely published chat completions: JSON in, JSON or an event stream out.
@@ -133,3 +134,9 @@
 
 // ReportPath is where a replica tells its load.
 func (ChatDialect) ReportPath() string { return "/report" }
+
+// LoadPath is where a replica takes the order to load weights; a lower order number than it has met is refused.
+func (ChatDialect) LoadPath() string { return "/weights" }
+
+// Loading stands in a report in the place of the weights while new ones load.
+const Loading = "loading"
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -71,8 +71,9 @@
 	loading  bool
 	running  int
 	number   uint64
+	order    uint64 // the highest load order met
 	cache    map[string]*block
-	order    []*block
+	line     []*block // of the cache, oldest first
 	changes  []change
 	dropped  uint64 // changes up to this number are forgotten
 	conducts map[string]Behaviour
@@ -128,6 +129,7 @@
 func (r *Replica) load(w http.ResponseWriter, q *http.Request) {
 	var order struct {
 		Weights string `json:"weights"`
+		Order   uint64 `json:"order"`
 	}
 	if err := json.NewDecoder(q.Body).Decode(&order); err != nil || order.Weights == "" {
 		http.Error(w, "needs weights", http.StatusBadRequest)
@@ -135,6 +137,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if order.Order < r.order {
+		http.Error(w, "an older order", http.StatusConflict)
+		return
+	}
+	r.order = order.Order
 	if r.loading || r.weights == order.Weights {
 		return
 	}
@@ -144,7 +151,7 @@
 		defer r.mu.Unlock()
 		r.loading, r.weights = false, order.Weights
 		r.warmAt = time.Now().Add(time.Duration(r.options.WarmMs) * time.Millisecond)
-		r.run, r.cache, r.order, r.changes = rand.Text()[:8], map[string]*block{}, nil, nil
+		r.run, r.cache, r.line, r.changes = rand.Text()[:8], map[string]*block{}, nil, nil
 	})
 }
 
@@ -160,7 +167,7 @@
 		Dropped []string `json:"dropped,omitempty"`
 	}{Report: router.Report{Run: r.run, Number: r.number, Weights: r.weights, Running: r.running, IsWarm: r.isWarm(), Rate: r.options.Rate}}
 	if r.loading {
-		body.Weights = "loading"
+		body.Weights = router.Loading
 	}
 	body.IsImage = q.FormValue("run") != r.run || from < r.dropped
 	if body.IsImage {
@@ -346,12 +353,12 @@
 		r.number++
 		b = &block{hash: hash, tenant: run.Tenant, domain: run.Domain, weights: r.weights, number: r.number}
 		r.cache[hash] = b
-		r.order = append(r.order, b)
+		r.line = append(r.line, b)
 		r.changes = append(r.changes, change{r.number, hash, false})
 	}
-	for len(r.order) > r.options.Blocks {
-		old := r.order[0]
-		r.order = r.order[1:]
+	for len(r.line) > r.options.Blocks {
+		old := r.line[0]
+		r.line = r.line[1:]
 		delete(r.cache, old.hash)
 		r.number++
 		r.changes = append(r.changes, change{r.number, old.hash, true})
