--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -108,7 +108,8 @@
 				if now[r.Name] == nil || json.Unmarshal(now[r.Name], &before) != nil {
 					return nil, fail.New(fail.NotFound, "no replica %q", r.Name)
 				}
-				before.State, r = "leaving", before
+				r = before
+				r.State = "leaving"
 			}
 			change[r.Name] = blueprint.Field(r.Name, r)[r.Name]
 		}
--- a/link/wire.go
+++ b/link/wire.go
@@ -75,7 +75,18 @@
 		}
 		return q, nil
 	}
-	return kithttp.NewServer(made, decode, kithttp.EncodeJSONResponse, kithttp.ServerErrorEncoder(EncodeFailure))
+	return kithttp.NewServer(made, decode, encodeAnswer, kithttp.ServerErrorEncoder(EncodeFailure))
+}
+
+// encodeAnswer writes the answer at once; an asker that has gone meanwhile is nobody's error.
+func encodeAnswer(_ context.Context, w http.ResponseWriter, answer any) error {
+	raw, err := json.Marshal(answer)
+	if err != nil {
+		return fail.Wrap(err, fail.Internal, "encode answer")
+	}
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = w.Write(raw)
+	return nil
 }
 
 // EncodeFailure writes an error as its code's status and body.
--- /dev/null
+++ b/sim/faults_test.go
@@ -0,0 +1,330 @@
+package sim
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"asterridge/blueprint"
+	"asterridge/daemon"
+	"asterridge/standin"
+)
+
+// merge has a partial blueprint accepted by whichever core takes it.
+func (f *Fleet) merge(text string) (daemon.Accepted, error) {
+	var a daemon.Accepted
+	var err error
+	for core := range f.Options.Cores {
+		if a, err = f.Order(core, "blueprint", daemon.BlueprintOrder{Text: json.RawMessage(text), IsPartial: true}); err == nil {
+			return a, nil
+		}
+	}
+	return a, err
+}
+
+// during runs callers while something happens, and gives what they met.
+func (f *Fleet) during(count int, rate float64, seed uint64, play func()) (all []standin.Asked) {
+	var both sync.WaitGroup
+	both.Go(func() { all = f.Load(count, rate, callers, seed) })
+	play()
+	both.Wait()
+	return all
+}
+
+func TestWeightsRollUnderLoad(t *testing.T) {
+	inBubble(t, options(10), func(is *is.I, f *Fleet) {
+		all := f.during(800, 25, 10, func() {
+			time.Sleep(5 * time.Second)
+			must(f.merge(`{"pools":[{"name":"pool","weights":"w2"}]}`))
+			f.Fact("weights", "pool", "w2")
+		})
+		is.True(whole(all) > len(all)*85/100) // a tenth are calls of a web back end that this plan lacks
+		onNew := map[string]bool{}
+		for _, r := range f.Ledgers.Runs {
+			if r.HasRun && r.Weights == "w2" {
+				onNew[r.Replica] = true
+			}
+		}
+		is.Equal(len(onNew), 4)
+		noBreach(is, f)
+	})
+}
+
+func TestRevokedKeyEndsForConnectedClientsAndWaitingWork(t *testing.T) {
+	inBubble(t, options(11), func(is *is.I, f *Fleet) {
+		all := f.during(600, 30, 11, func() {
+			time.Sleep(5 * time.Second)
+			for _, r := range f.Replicas { // work of b waits behind a hold when its key goes
+				r.Behave(standin.Behaviour{Tenant: "b", IsRefusing: true, RetryAfter: "4"})
+			}
+			time.Sleep(time.Second)
+			must(f.Order(2, "keys", daemon.KeyOrder{Tenant: "b", Hash: blueprint.HashKey("b-key"), IsRevoked: true}))
+			f.Fact("revoked", "b-key", "")
+			for _, r := range f.Replicas {
+				r.Behave(standin.Behaviour{Tenant: "b"})
+			}
+		})
+		refused := 0
+		for _, a := range all {
+			if a.Code == 200 {
+				refused++
+			}
+		}
+		is.True(refused > 20)
+		noBreach(is, f)
+	})
+}
+
+func TestLeavingReplicaGetsNoNewWork(t *testing.T) {
+	inBubble(t, options(12), func(is *is.I, f *Fleet) {
+		f.during(500, 30, 12, func() {
+			time.Sleep(4 * time.Second)
+			must(f.Order(1, "replicas", daemon.ReplicasOrder{Text: json.RawMessage(`{"replicas":[{"name":"pool-1","state":"leaving"}]}`)}))
+			f.Fact("leaving", "pool-1", "")
+		})
+		after := 0
+		for _, r := range f.Ledgers.Runs {
+			if r.Replica != "pool-1" && r.HasRun {
+				after++
+			}
+		}
+		is.True(after > 200)
+		noBreach(is, f)
+	})
+}
+
+func TestOneCoreLostAndBack(t *testing.T) {
+	for lost := range 4 {
+		inBubble(t, options(uint64(20+lost)), func(is *is.I, f *Fleet) {
+			var longest time.Duration
+			all := f.during(600, 30, uint64(20+lost), func() {
+				time.Sleep(4 * time.Second)
+				f.Kill(CoreIP(lost))
+				for n := range 8 {
+					began := time.Now()
+					f.Until(5*time.Second, "a change is accepted with one core dead", func() bool {
+						_, err := f.merge(fmt.Sprintf(`{"tenants":[{"name":"a","weight":%d}]}`, n+2))
+						return err == nil
+					})
+					longest = max(longest, time.Since(began))
+					time.Sleep(300 * time.Millisecond)
+				}
+				f.StartCore(lost)
+				f.Until(8*time.Second, "the core that came back has all", func() bool {
+					a, err := f.Query(lost, "owners")
+					if err != nil {
+						return false
+					}
+					for _, row := range a.Rows {
+						if row["key"] == blueprint.Key {
+							return row["version"].(float64) == 9 && row["settled"] == true
+						}
+					}
+					return false
+				})
+			})
+			t.Logf("core %d dead: longest wait for a change %v", lost+1, longest)
+			is.True(longest < 3*time.Second)
+			is.True(whole(all) > len(all)*85/100)
+			noBreach(is, f)
+		})
+	}
+}
+
+func TestAllKilledAtOnceComeBackWithConfigurationClaimsAndHolds(t *testing.T) {
+	inBubble(t, options(30), func(is *is.I, f *Fleet) {
+		status, _, _ := f.Ask(0, "a", "before", chat("light"))
+		is.Equal(status, 200)
+		for _, r := range f.Replicas {
+			r.Behave(standin.Behaviour{Tenant: "c", IsRefusing: true, RetryAfter: "60"})
+		}
+		_, code, _ := f.Ask(0, "c", "", chat("light"))
+		is.Equal(code, "210")
+		accepted := must(f.merge(`{"tenants":[{"name":"a","weight":7}]}`))
+		for i := range 4 {
+			f.Kill(CoreIP(i))
+		}
+		for i := range f.Proxies {
+			f.Kill(ProxyIP(i))
+		}
+		time.Sleep(2 * time.Second)
+		for i := range 4 {
+			f.StartCore(i)
+		}
+		for i := range f.Proxies {
+			f.StartPair(i)
+		}
+		back := f.Until(12*time.Second, "service is back", func() bool {
+			status, _, _ := f.Ask(1, "b", "", chat("light"))
+			return status == 200
+		})
+		t.Logf("service is back after %v", back)
+		version, _, err := f.blueprint(0)
+		is.NoErr(err)
+		is.True(version >= accepted.Version)
+		status, code, _ = f.Ask(2, "a", "before", chat("light"))
+		is.Equal(status, 409)
+		is.Equal(code, "224")
+		_, code, _ = f.Ask(1, "c", "", chat("light"))
+		is.Equal(code, "210") // still held
+		noBreach(is, f)
+	})
+}
+
+// blueprint gives a core's version of the blueprint.
+func (f *Fleet) blueprint(core int) (version uint64, isSettled bool, err error) {
+	a, err := f.Query(core, "owners")
+	for _, row := range a.Rows {
+		if row["key"] == blueprint.Key {
+			return uint64(row["version"].(float64)), row["settled"] == true, err
+		}
+	}
+	return 0, false, err
+}
+
+func TestCutOffProxyStopsAdmittingAndItsStreamsFinish(t *testing.T) {
+	inBubble(t, options(31), func(is *is.I, f *Fleet) {
+		long := `{"model":"light","stream":true,"max_tokens":600,"messages":[{"role":"user","content":"a long one"}]}`
+		var running sync.WaitGroup
+		running.Go(func() {
+			status, _, text := f.Ask(0, "a", "", long)
+			is.Equal(status, 200)
+			is.True(len(text) > 10000)
+		})
+		time.Sleep(200 * time.Millisecond)
+		for i := range 4 {
+			f.Net.Part([]string{CoreIP(i)}, []string{ProxyIP(0)}, true)
+		}
+		stopped := f.Until(1700*time.Millisecond, "the cut-off proxy admits nothing", func() bool {
+			_, code, _ := f.Ask(0, "a", "", chat("light"))
+			return code == "214"
+		})
+		t.Logf("stopped admitting after %v", stopped)
+		must(f.merge(`{"tenants":[{"name":"a","weight":9}]}`))
+		running.Wait()
+		for i := range 4 {
+			f.Net.Part([]string{CoreIP(i)}, []string{ProxyIP(0)}, false)
+		}
+		f.Until(5*time.Second, "it admits again", func() bool {
+			status, _, _ := f.Ask(0, "a", "", chat("light"))
+			return status == 200
+		})
+		noBreach(is, f)
+	})
+}
+
+func TestSplitCoreAcceptsNothingInAMinority(t *testing.T) {
+	ips := []string{CoreIP(0), CoreIP(1), CoreIP(2), CoreIP(3)}
+	inBubble(t, options(32), func(is *is.I, f *Fleet) {
+		all := f.during(700, 30, 32, func() {
+			time.Sleep(3 * time.Second)
+			f.Net.Part(ips[:2], ips[2:], true)
+			time.Sleep(1500 * time.Millisecond)
+			for core := range 4 {
+				_, err := f.Order(core, "blueprint", daemon.BlueprintOrder{Text: json.RawMessage(`{"tenants":[{"name":"a","weight":50}]}`), IsPartial: true})
+				is.True(err != nil)
+			}
+			f.Net.Part(ips[:2], ips[2:], false)
+			f.Until(6*time.Second, "a change is accepted after the split", func() bool {
+				_, err := f.merge(`{"tenants":[{"name":"a","weight":51}]}`)
+				return err == nil
+			})
+			f.Net.Part(ips[:1], ips[1:], true)
+			f.Until(6*time.Second, "three of four accept", func() bool {
+				_, err := f.Order(2, "blueprint", daemon.BlueprintOrder{Text: json.RawMessage(`{"tenants":[{"name":"a","weight":52}]}`), IsPartial: true})
+				return err == nil
+			})
+			_, err := f.Order(0, "blueprint", daemon.BlueprintOrder{Text: json.RawMessage(`{"tenants":[{"name":"a","weight":53}]}`), IsPartial: true})
+			is.True(err != nil)
+			f.Net.Part(ips[:1], ips[1:], false)
+			time.Sleep(3 * time.Second)
+		})
+		is.True(whole(all) > len(all)*85/100)
+		noBreach(is, f)
+	})
+}
+
+func TestStalledAndFullDisksMoveOwnershipAndNothingElse(t *testing.T) {
+	inBubble(t, options(33), func(is *is.I, f *Fleet) {
+		all := f.during(600, 30, 33, func() {
+			time.Sleep(3 * time.Second)
+			for core := range 4 {
+				release := f.Disks[core].Stall()
+				time.Sleep(2 * time.Second)
+				began := time.Now()
+				f.Until(4*time.Second, "a change is accepted with a stalled disk", func() bool {
+					_, err := f.merge(fmt.Sprintf(`{"tenants":[{"name":"a","weight":%d}]}`, 20+core))
+					return err == nil
+				})
+				t.Logf("disk %d stalled: change after %v", core+1, time.Since(began))
+				release()
+				f.Disks[core].Fill(true)
+				time.Sleep(500 * time.Millisecond)
+				f.Until(4*time.Second, "a change is accepted with a full disk", func() bool {
+					_, err := f.merge(fmt.Sprintf(`{"tenants":[{"name":"a","weight":%d}]}`, 30+core))
+					return err == nil
+				})
+				f.Disks[core].Fill(false)
+				time.Sleep(time.Second)
+			}
+		})
+		is.True(whole(all) > len(all)*85/100)
+		noBreach(is, f)
+	})
+}
+
+func TestTwoOperatorsRaceAndBurstWithoutLosingWork(t *testing.T) {
+	inBubble(t, options(34), func(is *is.I, f *Fleet) {
+		var operators sync.WaitGroup
+		var mu sync.Mutex
+		won, conflicts := map[string]bool{}, 0
+		for op := range 2 {
+			operators.Go(func() {
+				for n := range 15 {
+					name := fmt.Sprintf("t-%d-%d", op, n)
+					version, _, err := f.blueprint(op)
+					is.NoErr(err)
+					_, err = f.Order(op, "blueprint", daemon.BlueprintOrder{IsPartial: true, Expect: &version,
+						Text: json.RawMessage(`{"tenants":[{"name":"` + name + `"}]}`)})
+					mu.Lock()
+					if err == nil {
+						won[name] = true
+					} else {
+						conflicts++
+					}
+					mu.Unlock()
+				}
+			})
+		}
+		operators.Wait()
+		var burst sync.WaitGroup
+		writes := f.Disks[0].Writes
+		for n := range 60 {
+			burst.Go(func() {
+				name := fmt.Sprintf("burst-%d", n)
+				_, err := f.Order(n%4, "blueprint", daemon.BlueprintOrder{IsPartial: true, Text: json.RawMessage(`{"tenants":[{"name":"` + name + `"}]}`)})
+				is.NoErr(err)
+				mu.Lock()
+				defer mu.Unlock()
+				won[name] = true
+			})
+		}
+		burst.Wait()
+		t.Logf("two operators: %d conflicts; a burst of 60 changes took %d writes of one disk", conflicts, f.Disks[0].Writes-writes)
+		is.True(conflicts > 0)
+		a, err := f.Query(3, "tenants")
+		is.NoErr(err)
+		there := map[string]bool{}
+		for _, row := range a.Rows {
+			there[row["name"].(string)] = true
+		}
+		for name := range won {
+			is.True(there[name]) // a yes is never undone by the other operator
+		}
+		is.Equal(len(there), len(won)+3)
+	})
+}
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -111,8 +111,9 @@
 	return value
 }
 
-// StartCore starts a core on its disk.
+// StartCore starts a core on its disk; what ran on the host before is killed, as with the other starts.
 func (f *Fleet) StartCore(i int) {
+	f.Kill(CoreIP(i))
 	p := f.place(fmt.Sprintf("core-%d", i+1), CoreIP(i), fmt.Sprintf("zone-%d", i+1))
 	for j := range f.Options.Cores {
 		if j != i {
@@ -127,6 +128,7 @@
 // StartPair starts a machine's agent and proxy.
 func (f *Fleet) StartPair(i int) {
 	ip := ProxyIP(i)
+	f.Kill(ip)
 	p := f.place(fmt.Sprintf("agent-%d", i+1), ip, fmt.Sprintf("zone-%d", i%4+1))
 	for j := range min(3, f.Options.Cores) {
 		p.Seeds = append(p.Seeds, At(CoreIP(j)))
@@ -165,6 +167,7 @@
 	f.Replicas[o.Name] = r
 	f.mu.Unlock()
 	ip := ReplicaIP(i)
+	f.Kill(ip)
 	listener := must(f.Net.Host(ip).Listen(At(ip)))
 	f.launch(ip, func(ctx context.Context) {
 		server := &http.Server{Handler: r.Handler()}
