Signals: a cold cache or a sick replica no longer holds a tenant

Cause: first-piece delays of a tenant whose prompts were not cached yet were compared with others' cached ones, and the first refusal of a replica that refuses everyone counted against one tenant. Ruled out: the hysteresis itself; the samples were wrong, not their smoothing.

--- a/cmd/fleet/scripts.go
+++ b/cmd/fleet/scripts.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"path/filepath"
+	"strings"
 	"time"
 
 	"asterridge/standin"
@@ -9,6 +12,7 @@
 
 var scripts = []script{
 	{"calm", "nothing happens", func(context.Context, *fleet) error { return nil }},
+	{"stay", "the callers ask, and the fleet stays up until it is interrupted", stay},
 	{"throttle", "every replica refuses one tenant for four seconds", throttle},
 }
 
@@ -46,3 +50,11 @@
 	after(ctx, 4*time.Second-time.Since(began))
 	return f.behave(standin.Behaviour{Tenant: tenant})
 }
+
+// stay leaves the fleet to the user.
+func stay(ctx context.Context, f *fleet) error {
+	fmt.Printf("ask it: %s -fleet %s -cores %s show acks\n", filepath.Join(f.options.bin, "shell"), fleetName, strings.Join(f.cores, ","))
+	fmt.Printf("a proxy: http://%s/v1/chat/completions with key %s\n", f.proxies[0], f.keys[0].Access)
+	<-ctx.Done()
+	return nil
+}
--- a/cmd/shell/main.go
+++ b/cmd/shell/main.go
@@ -203,7 +203,7 @@
 
 // rank puts names first, and the rest by the alphabet.
 func rank(column string) string {
-	for i, first := range []string{"scope", "request", "name", "key", "replica", "agent", "tenant", "pool"} {
+	for i, first := range []string{"scope", "request", "proxy", "name", "key", "replica", "agent", "tenant", "pool"} {
 		if column == first {
 			return string(rune('0' + i))
 		}
--- a/cmd/shell/parse.go
+++ b/cmd/shell/parse.go
@@ -99,7 +99,7 @@
 			return w, nil
 		}
 	}
-	return "", bounce(t.at, "%q stands where %s should", t.text, strings.Join(words, " or "))
+	return "", bounce(t.at, "%q stands where one of %q should", t.text, words)
 }
 
 // name takes any word or string.
--- a/hold/signals.go
+++ b/hold/signals.go
@@ -1,6 +1,7 @@
 package hold
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -8,14 +9,18 @@
 // Signals tells a throttled tenant from a sick replica (§4.3). Names are dense indices given at the door.
 type Signals struct {
 	mu       sync.Mutex
-	replicas map[int]*recent
+	refusals map[int]*refusals    // by tenant
+	served   map[[2]int]time.Time // replica and tenant → when the last request that was served was sent
+	refused  map[[2]int]time.Time // replica and tenant → last refusal
 	baseline map[[2]int]*baseline // replica and kind
 	tenants  map[int]*slowness
 }
 
-type recent struct {
-	served  map[int]time.Time // tenant → last answer begun
-	refused map[int]time.Time
+// refusals of one tenant since it was last served anywhere.
+type refusals struct {
+	count int
+	last  time.Time
+	first map[int]time.Time // by replica
 }
 
 // baseline has each tenant's moving first-piece delay on one replica for one kind.
@@ -29,72 +34,73 @@
 
 type slowness struct {
 	ratio  moving
+	run    int       // slow samples in a row
+	began  time.Time // of the run
 	isSlow bool
 }
 
 const (
-	window   = time.Second
+	window   = 2 * time.Second
 	memory   = 30 * time.Second
-	needed   = 8
+	needed   = 6
 	smoothed = 0.25
 	calm     = 1.5
-	leastGap = 100 * time.Millisecond
+	leastGap = 0.1 // seconds
 )
 
 // NewSignals makes an empty observer.
 func NewSignals() *Signals {
-	return &Signals{replicas: map[int]*recent{}, baseline: map[[2]int]*baseline{}, tenants: map[int]*slowness{}}
+	return &Signals{refusals: map[int]*refusals{}, served: map[[2]int]time.Time{}, refused: map[[2]int]time.Time{},
+		baseline: map[[2]int]*baseline{}, tenants: map[int]*slowness{}}
 }
 
-func (s *Signals) recent(replica int) *recent {
-	r := s.replicas[replica]
-	if r == nil {
-		r = &recent{served: map[int]time.Time{}, refused: map[int]time.Time{}}
-		s.replicas[replica] = r
-	}
-	return r
-}
-
-// Refused takes a refusal; it says whether the tenant is the ground of it. isNamed: the replica says so itself.
-func (s *Signals) Refused(replica, tenant int, isNamed bool) bool {
+// Refused takes a refusal that does not name its ground, and says whether the tenant is it: refused at least twice and not served
+// since, while a replica that refused it serves another tenant, and has not refused that one lately.
+func (s *Signals) Refused(replica, tenant int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r, now := s.recent(replica), time.Now()
-	r.refused[tenant] = now
-	if isNamed {
-		return true
-	}
-	isServing := false
-	for other, at := range r.served {
-		if other != tenant && now.Sub(at) < window {
-			isServing = true
-		}
+	now := time.Now()
+	r := s.refusals[tenant]
+	if r == nil || now.Sub(r.last) > window {
+		r = &refusals{first: map[int]time.Time{}}
+		s.refusals[tenant] = r
+	}
+	r.count++
+	r.last = now
+	if r.first[replica].IsZero() {
+		r.first[replica] = now
 	}
-	for other, at := range r.refused {
-		if other != tenant && now.Sub(at) < window {
-			return false
+	s.refused[[2]int{replica, tenant}] = now
+	if r.count < 2 {
+		return false
+	}
+	for at, sent := range s.served {
+		first, isRefuser := r.first[at[0]]
+		if isRefuser && at[1] != tenant && sent.After(first) && now.Sub(s.refused[at]) > window {
+			return true
 		}
 	}
-	return isServing
+	return false
 }
 
-// Began takes the delay to the first piece; it says whether the tenant has just shown as slowed.
-func (s *Signals) Began(replica, kind, tenant int, delay time.Duration, slowRatio float64) bool {
+// Began takes the delay to the first piece of a request. cold is how long reading the whole prompt anew may take: a delay that this explains
+// is no signal. It says whether the tenant has just shown as slowed.
+func (s *Signals) Began(replica, kind, tenant int, delay, cold time.Duration, slowRatio float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.recent(replica).served[tenant] = now
+	s.served[[2]int{replica, tenant}] = now.Add(-delay)
+	delete(s.refusals, tenant)
 	at := [2]int{replica, kind}
 	b := s.baseline[at]
 	if b == nil {
 		b = &baseline{delays: map[int]*moving{}}
 		s.baseline[at] = b
 	}
-	others, count := 0.0, 0
+	var others []float64
 	for other, m := range b.delays {
 		if other != tenant && now.Sub(m.at) < memory {
-			others += m.value
-			count++
+			others = append(others, m.value)
 		}
 	}
 	own := b.delays[tenant]
@@ -103,31 +109,45 @@
 		b.delays[tenant] = own
 	}
 	own.add(delay.Seconds(), now)
-	if count == 0 {
+	if len(others) == 0 {
 		return false
 	}
-	base := max(others/float64(count), 0.001)
+	slices.Sort(others)
+	base := max(others[(len(others)-1)/2], cold.Seconds(), 0.001)
 	t := s.tenants[tenant]
-	if t == nil {
+	if t == nil || now.Sub(t.ratio.at) > memory {
 		t = &slowness{}
 		s.tenants[tenant] = t
 	}
-	if now.Sub(t.ratio.at) > memory {
-		*t = slowness{}
-	}
 	ratio := delay.Seconds() / base
-	if delay.Seconds()-base < leastGap.Seconds() {
+	if delay.Seconds()-base < leastGap {
 		ratio = min(ratio, 1) // too small a gap to matter, however large the ratio
 	}
 	t.ratio.add(min(ratio, 20), now)
-	switch {
-	case t.ratio.count >= needed && t.ratio.value > slowRatio:
-		// Each full set of samples that is still slow is a signal of its own.
-		t.isSlow, t.ratio.count = true, 0
-		return true
-	case t.ratio.value < calm:
+	if t.ratio.value < calm {
 		t.isSlow = false
 	}
+	if ratio < calm {
+		t.run = 0
+		return false
+	}
+	if t.run++; t.run == 1 {
+		t.began = now
+	}
+	if t.run < needed || t.ratio.value <= slowRatio || !s.isAnotherCalm(tenant, t.began) {
+		return false
+	}
+	t.isSlow, t.run = true, 0 // each full run that is still slow is a signal of its own
+	return true
+}
+
+// isAnotherCalm says whether some other tenant was served at its usual pace since: else everyone is slow.
+func (s *Signals) isAnotherCalm(tenant int, since time.Time) bool {
+	for other, t := range s.tenants {
+		if other != tenant && t.ratio.at.After(since) && t.ratio.value < calm {
+			return true
+		}
+	}
 	return false
 }
 
--- a/router/filters.go
+++ b/router/filters.go
@@ -372,6 +372,7 @@
 		stop()
 		var refused *net.OpError
 		if !isReached && errors.As(err, &refused) && refused.Op == "dial" {
+			r.cool(rep)
 			return errAgain{fail.Wrap(err, fail.ReplicaSaid, "no connection was made")}
 		}
 		return r.lost(x, err)
@@ -434,6 +435,7 @@
 	if x.Request.Context().Err() != nil {
 		return fail.Wrap(err, fail.OutcomeLost, "the caller left")
 	}
+	r.cool(x.replica)
 	r.log.Warn().Str("event", "lost").Str("request", x.ID).Str("replica", x.replica.Name).Err(err).Msg("")
 	lost := fail.Wrap(err, fail.OutcomeLost, "no whole answer from "+x.replica.Name)
 	if x.IsRepeatable && time.Now().Before(x.Deadline) {
@@ -450,7 +452,10 @@
 		r.counts.add("refusals_pushed", 1)
 		rule := r.view.Load().hold
 		values := answer.Header.Values("Retry-After")
-		isOurs := r.signals.Refused(x.replica.index, x.Tenant.index, v.IsTenant)
+		isOurs := v.IsTenant || r.signals.Refused(x.replica.index, x.Tenant.index)
+		if !isOurs {
+			r.cool(x.replica)
+		}
 		if isOurs || len(values) > 0 {
 			delay, isParsed := hold.RetryAfter(values, time.Now(), time.Duration(rule.CapMs)*time.Millisecond)
 			if !isParsed {
@@ -459,6 +464,9 @@
 			r.throttle(x, delay, "refused: "+v.Reason, strings.Join(values, " | "))
 		}
 	}
+	if v.IsMoved {
+		r.cool(x.replica)
+	}
 	if !v.IsNotRun {
 		x.isSent = true
 		return fail.New(fail.OutcomeLost, "%s refused: %s", x.replica.Name, v.Reason)
@@ -468,8 +476,14 @@
 
 // began feeds the delay of the first piece to the signals.
 func (r *Router) began(x *Exchange, delay time.Duration) {
+	x.replica.bad.Store(0)
+	said := x.replica.report.Load()
+	if said == nil || !said.IsWarm {
+		return // slow for everyone
+	}
 	rule := r.view.Load().hold
-	if r.signals.Began(x.replica.index, x.Path.index, x.Tenant.index, delay, rule.SlowRatio) {
+	cold := time.Duration(float64(len(x.Prompt.Text)) / said.rate() * float64(time.Millisecond))
+	if r.signals.Began(x.replica.index, x.Path.index, x.Tenant.index, delay, cold, rule.SlowRatio) {
 		r.throttle(x, r.random.backoff(rule, r.streak(x)), "slowed", "")
 	}
 	if x.Path.pool.Kind == "model" && !r.signals.IsSlow(x.Tenant.index) {
--- a/router/pool.go
+++ b/router/pool.go
@@ -20,6 +20,8 @@
 	defaultRate = 4.0 // bytes of prompt per ms, until a replica tells
 	loadWeight  = 40.0
 	newestWarm  = 3 * time.Second
+	coolStep    = 50 * time.Millisecond
+	coolMost    = 2 * time.Second
 )
 
 // mayServe says whether a replica may start work for the pool now (§6.1).
@@ -51,7 +53,7 @@
 	chains := map[string]map[string]int{}
 	for _, rep := range p.replicas {
 		weights, isFit := r.mayServe(p, rep, now)
-		if !isFit || !r.hasRoom(rep) {
+		if !isFit || !r.hasRoom(rep) || now.Before(*rep.coolUntil.Load()) {
 			continue
 		}
 		domain := prompt.Domain(x.Tenant.Name, x.Tenant.IsWalled, weights)
@@ -77,11 +79,7 @@
 // cost estimates the milliseconds until the first piece.
 func (r *Router) cost(x *Exchange, rep *replica, keptBlocks int) float64 {
 	said := rep.report.Load()
-	rate := said.Rate
-	if rate <= 0 {
-		rate = defaultRate
-	}
-	work := float64(max(0, len(x.Prompt.Text)-keptBlocks*prompt.BlockSize)) / rate
+	work := float64(max(0, len(x.Prompt.Text)-keptBlocks*prompt.BlockSize)) / said.rate()
 	busy := float64(said.Running) + float64(rep.sent.Load())
 	cost := work + loadWeight*busy*busy/float64(max(1, rep.Limit))/float64(max(1, rep.Limit))
 	if !said.IsWarm {
@@ -90,6 +88,22 @@
 	return cost
 }
 
+// rate is how fast the replica reads a prompt anew, in bytes per ms.
+func (said *report) rate() float64 {
+	if said.Rate <= 0 {
+		return defaultRate
+	}
+	return said.Rate
+}
+
+// cool leaves a replica alone for a while that refuses everyone, or fails; longer each time until it serves again.
+func (r *Router) cool(rep *replica) {
+	pause := min(coolStep<<min(rep.bad.Add(1)-1, 6), coolMost)
+	until := time.Now().Add(pause)
+	rep.coolUntil.Store(&until)
+	time.AfterFunc(pause+time.Millisecond, r.backlog.WakeAll)
+}
+
 // hasRoom looks at this proxy's share, and beyond it at what the replica's report leaves free (§5.3).
 func (r *Router) hasRoom(rep *replica) bool {
 	own := int(rep.running.Load())
--- a/router/view.go
+++ b/router/view.go
@@ -51,9 +51,17 @@
 }
 
 type load struct {
-	running atomic.Int64 // sent by this proxy and not ended
-	sent    atomic.Int64 // by this proxy since the report
-	report  atomic.Pointer[report]
+	bad       atomic.Int64 // refusals of everyone and failures in a row
+	coolUntil atomic.Pointer[time.Time]
+	running   atomic.Int64 // sent by this proxy and not ended
+	sent      atomic.Int64 // by this proxy since the report
+	report    atomic.Pointer[report]
+}
+
+func newLoad() *load {
+	l := &load{}
+	l.coolUntil.Store(&time.Time{})
+	return l
 }
 
 // Report is what a replica says of itself; Number rises with each within a run.
@@ -151,7 +159,7 @@
 		return a.Name < b.Name
 	})
 	for name, told := range replicas {
-		made := &replica{Replica: told, load: &load{}, index: r.names.of("replica/" + name)}
+		made := &replica{Replica: told, load: newLoad(), index: r.names.of("replica/" + name)}
 		if old != nil && old.replicas[name] != nil && old.replicas[name].Address == told.Address {
 			made.load = old.replicas[name].load
 		}
