Prefixes fetched from a peer or store where that was measured quicker than reading anew

Cause: the draw knew only what each replica keeps itself. Change: replicas report the rate at which they got blocks from each source; the draw compares and names the source to the replica.

--- a/blueprint/blueprint.go
+++ b/blueprint/blueprint.go
@@ -27,7 +27,7 @@
 // Pool is a set of replicas that serve the same weights, or a web back end.
 type Pool struct {
 	Name    string `json:"name"`
-	Kind    string `json:"kind"`    // "model" or "web"
+	Kind    string `json:"kind"`    // "model", "web", or "store": a store of kept prompts
 	Weights string `json:"weights"` // the accepted version; empty for web
 }
 
@@ -154,6 +154,9 @@
 		if _, isThere := b.Pools[p.Pool]; !isThere {
 			return bounce(fail.Dangling, "pool", "there is no pool %q", p.Pool)
 		}
+		if b.Pools[p.Pool].Kind == "store" {
+			return bounce(fail.Dangling, "pool", "pool %q is a store and serves no requests", p.Pool)
+		}
 		if p.Address == "" {
 			return bounce(fail.Missing, "address", "a path needs an address")
 		}
@@ -313,7 +316,7 @@
 	case "name":
 		return set(&p.Name, v.name)
 	case "kind":
-		return set(&p.Kind, word(v, "model", "web"))
+		return set(&p.Kind, word(v, "model", "web", "store"))
 	case "weights":
 		return set(&p.Weights, v.name)
 	}
--- a/cmd/fleet/fleet.go
+++ b/cmd/fleet/fleet.go
@@ -117,6 +117,14 @@
 
 func (f *fleet) startReplicas() error {
 	o := f.options
+	store, err := place(99)
+	if err != nil {
+		return err
+	}
+	f.replicas["store-1"] = store
+	if err := f.run("store-1", "standin", "replica", "-name", "store-1", "-address", store, "-kind", "store", "-blocks", "20000"); err != nil {
+		return err
+	}
 	for i := range o.replicas + 1 {
 		name, kind := fmt.Sprintf("deep-%d", i+1-o.replicas/3), "model"
 		switch {
@@ -130,7 +138,7 @@
 			return err
 		}
 		f.replicas[name] = at
-		if err := f.run(name, "standin", "replica", "-name", name, "-address", at, "-kind", kind, "-ledger", f.path(name+".ledger")); err != nil {
+		if err := f.run(name, "standin", "replica", "-name", name, "-address", at, "-kind", kind, "-store", store, "-ledger", f.path(name+".ledger")); err != nil {
 			return err
 		}
 	}
@@ -382,17 +390,19 @@
 		l.Runs = append(l.Runs, readLines[standin.Run](f.path(name+".ledger"))...)
 	}
 	fmt.Println(standin.Summary(l.Asked))
-	hit, blocks, ran, refused := 0, 0, 0, 0
+	hit, fetched, blocks, ran, refused := 0, 0, 0, 0, 0
 	for _, r := range l.Runs {
 		if r.HasRun {
 			ran++
 			hit += r.Hit
+			fetched += r.Fetched
 			blocks += r.Blocks
 		} else {
 			refused++
 		}
 	}
-	fmt.Printf("replicas: ran %d, refused %d, cache hit share %.3f\n", ran, refused, float64(hit)/float64(max(1, blocks)))
+	fmt.Printf("replicas: ran %d, refused %d, cache hit share %.3f, %.3f of it fetched\n", ran, refused,
+		float64(hit)/float64(max(1, blocks)), float64(fetched)/float64(max(1, hit)))
 	for _, figure := range f.figures {
 		fmt.Println(figure)
 	}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -67,7 +67,9 @@
 
 func replica() {
 	s := daemon.NewSettings("standin replica", "a model replica or web back end")
-	kind := s.Text("kind", "model", "model or web")
+	kind := s.Text("kind", "model", "model, web or store")
+	fetch := s.Whole("link", 400, 1, 1000000, "bytes of a prefix fetched per ms")
+	store := s.Address("store", "`ip:port` of a store that new blocks are put into")
 	weights := s.Text("weights", "w1", "weights loaded at the start")
 	limit := s.Whole("limit", 8, 1, 10000, "requests at a time")
 	rate := s.Whole("rate", 60, 1, 1000000, "bytes of prompt read anew per ms")
@@ -81,7 +83,8 @@
 		add, shut := ledger[standin.Run](*file)
 		defer shut()
 		r := standin.NewReplica(standin.ReplicaOptions{Name: s.Place.Name, Kind: *kind, Weights: *weights, Limit: *limit, Rate: float64(*rate),
-			PieceMs: *piece, LoadMs: *load, WarmMs: *warm, Blocks: *blocks, Ledger: add})
+			PieceMs: *piece, LoadMs: *load, WarmMs: *warm, Blocks: *blocks, Ledger: add,
+			Link: float64(*fetch), Store: *store, Client: &http.Client{}})
 		listener, err := s.Place.Net.Listen(s.Place.Address)
 		if err != nil {
 			return err
--- a/router/dialect.go
+++ b/router/dialect.go
@@ -31,7 +31,7 @@
 // Dialect is the one place that knows how replicas speak.
 type Dialect interface {
 	Read(body []byte, address string) (Prompt, error)
-	Dress(h http.Header, x *Exchange, domain, weights string)
+	Dress(h http.Header, x *Exchange, domain, weights, source string)
 	Judge(r *http.Response) Verdict
 	AnswerID(r *http.Response) string
 	IsEnd(tail []byte) bool
@@ -48,6 +48,7 @@
 	tenantHeader  = "X-Tenant"
 	domainHeader  = "X-Cache-Domain"
 	weightsHeader = "X-Expect-Weights"
+	sourceHeader  = "X-Prefix-From"
 )
 
 type chatBody struct {
@@ -83,7 +84,7 @@
 }
 
 // Dress puts the router's words to the replica on a request.
-func (ChatDialect) Dress(h http.Header, x *Exchange, domain, weights string) {
+func (ChatDialect) Dress(h http.Header, x *Exchange, domain, weights, source string) {
 	h.Set(idHeader, x.ID)
 	h.Set(tenantHeader, x.Tenant.Name)
 	key := x.Key
@@ -94,6 +95,9 @@
 	if weights != "" {
 		h.Set(domainHeader, domain)
 		h.Set(weightsHeader, weights)
+		if source != "" {
+			h.Set(sourceHeader, source)
+		}
 	}
 }
 
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -99,6 +99,7 @@
 	item      backlog.Item
 	replica   *replica
 	weights   string
+	source    string
 	isClaimed bool
 	isSent    bool // some shot may have run
 }
--- a/router/filters.go
+++ b/router/filters.go
@@ -227,7 +227,7 @@
 		}
 		return again(fail.Of(err), time.Second)
 	}
-	x.replica, x.weights = c.replica, c.weights
+	x.replica, x.weights, x.source = c.replica, c.weights, c.source
 	isKept := false
 	defer func() {
 		if !isKept {
@@ -349,7 +349,7 @@
 	if x.Path.pool.Kind == "web" {
 		weights = ""
 	}
-	r.options.Dialect.Dress(q.Header, x, domain, weights)
+	r.options.Dialect.Dress(q.Header, x, domain, weights, x.source)
 	// A body reader without GetBody keeps net/http from resending by itself (§5.4).
 	q.Body, q.GetBody = io.NopCloser(struct{ io.Reader }{bytes.NewReader(x.Body)}), nil
 	if len(x.Body) > 0 {
--- a/router/pool.go
+++ b/router/pool.go
@@ -12,6 +12,7 @@
 type credit struct {
 	replica *replica
 	weights string
+	source  string // address of a peer or store that the replica should fetch the prefix from; "" to read it anew
 }
 
 const (
@@ -19,6 +20,8 @@
 	borrowPart  = 0.75
 	defaultRate = 4.0 // bytes of prompt per ms, until a replica tells
 	loadWeight  = 40.0
+	fetchDelay  = 5.0   // ms before the first byte of a fetched prefix
+	fetchTry    = 200.0 // bytes per ms expected of a source that was not tried yet
 	newestWarm  = 3 * time.Second
 	coolStep    = 50 * time.Millisecond
 	coolMost    = 2 * time.Second
@@ -62,10 +65,11 @@
 			kept = r.index.Kept(x.chain(domain))
 			chains[domain] = kept
 		}
-		cost := r.cost(x, rep, kept[rep.Name])
+		work, source := r.work(x, v, p, rep, kept)
+		cost := r.cost(rep, work)
 		if cost < least || best.replica == nil ||
 			cost == least && register.Weight(x.anchor(domain), rep.Name) > register.Weight(x.anchor(domain), best.replica.Name) {
-			best, least = credit{rep, weights}, cost
+			best, least = credit{rep, weights, source}, cost
 		}
 	}
 	if best.replica == nil {
@@ -76,10 +80,38 @@
 	return best, true
 }
 
-// cost estimates the milliseconds until the first piece.
-func (r *Router) cost(x *Exchange, rep *replica, keptBlocks int) float64 {
+// work estimates the milliseconds until the replica has the whole prompt: what it lacks is read anew, or fetched from a peer or store
+// that is thought to keep more of it, if that was measured to be quicker (§6.1).
+func (r *Router) work(x *Exchange, v *View, p *pool, rep *replica, kept map[string]int) (ms float64, source string) {
+	said, has := rep.report.Load(), kept[rep.Name]
+	size := len(x.Prompt.Text)
+	ms = float64(max(0, size-has*prompt.BlockSize)) / said.rate()
+	consider := func(other *replica) {
+		more := kept[other.Name] - has
+		if other.Name == rep.Name || more <= 0 || other.State == "leaving" {
+			return
+		}
+		rate, isTried := said.Fetch[other.Name]
+		if !isTried {
+			rate = fetchTry
+		}
+		fetched := fetchDelay + float64(more*prompt.BlockSize)/max(rate, 0.01) + float64(max(0, size-kept[other.Name]*prompt.BlockSize))/said.rate()
+		if fetched < ms {
+			ms, source = fetched, other.Address
+		}
+	}
+	for _, other := range p.replicas {
+		consider(other)
+	}
+	for _, other := range v.stores {
+		consider(other)
+	}
+	return ms, source
+}
+
+// cost adds the replica's load and warm-up to the work.
+func (r *Router) cost(rep *replica, work float64) float64 {
 	said := rep.report.Load()
-	work := float64(max(0, len(x.Prompt.Text)-keptBlocks*prompt.BlockSize)) / said.rate()
 	busy := float64(said.Running) + float64(rep.sent.Load())
 	cost := work + loadWeight*busy*busy/float64(max(1, rep.Limit))/float64(max(1, rep.Limit))
 	if !said.IsWarm {
--- a/router/view.go
+++ b/router/view.go
@@ -18,6 +18,7 @@
 	paths    []*path            // longest address first
 	pools    map[string]*pool
 	replicas map[string]*replica
+	stores   []*replica // of pools that keep prompts for the others
 	hold     blueprint.Hold
 	proxies  []string
 }
@@ -72,6 +73,8 @@
 	Running int     `json:"running"`
 	IsWarm  bool    `json:"warm"`
 	Rate    float64 `json:"rate"` // bytes of prompt read anew per ms
+	// Fetch has, by source, the bytes of prompt that this replica has got per ms; a source that it has not tried is not there.
+	Fetch map[string]float64 `json:"fetch,omitempty"`
 }
 
 type report struct {
@@ -166,6 +169,9 @@
 		made.share = share(told.Limit, v.proxies, r.options.Name, name)
 		if p := v.pools[told.Pool]; p != nil {
 			p.replicas = append(p.replicas, made)
+			if p.Kind == "store" {
+				v.stores = append(v.stores, made)
+			}
 		}
 		v.replicas[name] = made
 	}
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -157,6 +157,7 @@
 func (f *Fleet) StartReplica(i int) {
 	o := f.Options.Replica
 	o.Name = ReplicaName(i)
+	o.Client = &http.Client{Transport: &http.Transport{DialContext: f.Net.Host(ReplicaIP(i)).DialContext}}
 	o.Ledger = func(r standin.Run) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -23,7 +23,7 @@
 
 func options(seed uint64) FleetOptions {
 	return FleetOptions{Cores: 4, Proxies: 3, Replicas: 4, Seed: seed, Blueprint: plan, Tenants: []string{"a", "b", "c"}, Log: zerolog.Nop(),
-		Replica: standin.ReplicaOptions{Kind: "model", Weights: "w1", Limit: 12, Rate: 100, PieceMs: 5, LoadMs: 1000, WarmMs: 500, Blocks: 2000}}
+		Replica: standin.ReplicaOptions{Kind: "model", Weights: "w1", Limit: 12, Rate: 100, PieceMs: 5, LoadMs: 1000, WarmMs: 500, Blocks: 2000, Link: 400}}
 }
 
 // inBubble runs a whole fleet in fake time.
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -3,12 +3,14 @@
 package standin
 
 import (
+	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -21,14 +23,17 @@
 // ReplicaOptions of a stand-in replica.
 type ReplicaOptions struct {
 	Name    string
-	Kind    string // "model" or "web"
+	Kind    string // "model", "web" or "store"
 	Weights string
 	Limit   int
 	Rate    float64 // bytes of prompt read anew per ms
 	PieceMs int
-	LoadMs  int // how long loading weights takes
-	WarmMs  int // how long it is slow after a start or load
-	Blocks  int // how many blocks the KV cache keeps
+	LoadMs  int          // how long loading weights takes
+	WarmMs  int          // how long it is slow after a start or load
+	Blocks  int          // how many blocks the KV cache keeps
+	Link    float64      // bytes of a prefix fetched per ms
+	Store   string       // address of a store that new blocks are put into
+	Client  *http.Client // for fetching and storing
 	Ledger  func(Run)
 }
 
@@ -47,18 +52,21 @@
 	IsWhole  bool      `json:"whole"`         // the whole answer was written
 	Hit      int       `json:"hit"`           // blocks read from the cache
 	Blocks   int       `json:"blocks"`
+	Fetched  int       `json:"fetched,omitempty"`  // blocks got from a peer or store
 	Foreign  int       `json:"foreign,omitempty"`  // blocks of the cache made for another tenant
 	Outdated int       `json:"outdated,omitempty"` // blocks of the cache made under other weights
 }
 
 // Behaviour is how a replica treats one tenant ("" for all).
 type Behaviour struct {
-	Tenant     string `json:"tenant"`
-	IsRefusing bool   `json:"refuse"`
-	SlowMs     int    `json:"slow_ms"`
-	RetryAfter string `json:"retry_after,omitempty"` // sent with refusals, if set
-	CutAfter   int    `json:"cut_after,omitempty"`   // break streams off after so many pieces
-	IsUnnamed  bool   `json:"unnamed,omitempty"`     // refusals do not name the tenant as their ground
+	Tenant     string  `json:"tenant"`
+	IsRefusing bool    `json:"refuse"`
+	SlowMs     int     `json:"slow_ms"`
+	Link       float64 `json:"link,omitempty"`        // new bytes per ms of fetching, for all
+	IsEmptied  bool    `json:"emptied,omitempty"`     // lose all blocks kept, now
+	RetryAfter string  `json:"retry_after,omitempty"` // sent with refusals, if set
+	CutAfter   int     `json:"cut_after,omitempty"`   // break streams off after so many pieces
+	IsUnnamed  bool    `json:"unnamed,omitempty"`     // refusals do not name the tenant as their ground
 }
 
 // Replica is a stand-in model replica or web back end.
@@ -77,11 +85,11 @@
 	changes  []change
 	dropped  uint64 // changes up to this number are forgotten
 	conducts map[string]Behaviour
+	fetch    map[string]float64 // by source's name
 }
 
 type block struct {
-	hash, tenant, domain, weights string
-	number                        uint64
+	hash, tenant, weights string
 }
 
 type change struct {
@@ -96,7 +104,7 @@
 func NewReplica(options ReplicaOptions) *Replica {
 	return &Replica{options: options, run: rand.Text()[:8], weights: options.Weights, number: 1,
 		warmAt: time.Now().Add(time.Duration(options.WarmMs) * time.Millisecond),
-		cache:  map[string]*block{}, conducts: map[string]Behaviour{}}
+		cache:  map[string]*block{}, conducts: map[string]Behaviour{}, fetch: map[string]float64{}}
 }
 
 // Handler serves requests, reports and the controls.
@@ -105,6 +113,8 @@
 	mux.HandleFunc("GET /report", r.report)
 	mux.HandleFunc("POST /control", r.control)
 	mux.HandleFunc("POST /weights", r.load)
+	mux.HandleFunc("POST /kv/get", r.giveBlocks)
+	mux.HandleFunc("POST /kv/put", r.takeBlocks)
 	mux.HandleFunc("/", r.serve)
 	return mux
 }
@@ -114,6 +124,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.conducts[b.Tenant] = b
+	if b.Link > 0 {
+		r.options.Link = b.Link
+	}
+	if b.IsEmptied {
+		r.run, r.cache, r.line, r.changes = rand.Text()[:8], map[string]*block{}, nil, nil
+	}
 }
 
 func (r *Replica) control(w http.ResponseWriter, q *http.Request) {
@@ -165,7 +181,7 @@
 		IsImage bool     `json:"image"`
 		Kept    []string `json:"kept,omitempty"`
 		Dropped []string `json:"dropped,omitempty"`
-	}{Report: router.Report{Run: r.run, Number: r.number, Weights: r.weights, Running: r.running, IsWarm: r.isWarm(), Rate: r.options.Rate}}
+	}{Report: router.Report{Run: r.run, Number: r.number, Weights: r.weights, Running: r.running, IsWarm: r.isWarm(), Rate: r.options.Rate, Fetch: maps.Clone(r.fetch)}}
 	if r.loading {
 		body.Weights = router.Loading
 	}
@@ -251,6 +267,8 @@
 		return
 	}
 	r.running++
+	isWarm := r.isWarm()
+	r.mu.Unlock()
 	text := ""
 	if r.options.Kind == "model" {
 		parts := make([]string, 0, 2*len(body.Messages))
@@ -258,10 +276,12 @@
 			parts = append(parts, m.Role, m.Content)
 		}
 		text = prompt.Text(parts...)
-		r.remember(&run, text)
+		chain := prompt.Blocks(run.Domain, text, 256)
+		if source := q.Header.Get("X-Prefix-From"); source != "" {
+			run.Fetched = r.fetchBlocks(q, source, chain)
+		}
+		r.remember(&run, chain)
 	}
-	isWarm := r.isWarm()
-	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
 		r.running--
@@ -330,11 +350,13 @@
 	}
 }
 
-// remember reads what the cache has of the prompt, and keeps all of it; r.mu is held.
-func (r *Replica) remember(run *Run, text string) {
-	chain := prompt.Blocks(run.Domain, text, 256)
+// remember reads what the cache has of the prompt, and keeps all of it.
+func (r *Replica) remember(run *Run, chain []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	run.Blocks = len(chain)
 	isHit := true
+	var made []kvBlock
 	for _, hash := range chain {
 		b := r.cache[hash]
 		isHit = isHit && b != nil
@@ -347,15 +369,23 @@
 				run.Outdated++
 			}
 		}
-		if b != nil {
-			continue
+		if b == nil {
+			r.keep(kvBlock{hash, run.Tenant, r.weights})
+			made = append(made, kvBlock{hash, run.Tenant, r.weights})
 		}
-		r.number++
-		b = &block{hash: hash, tenant: run.Tenant, domain: run.Domain, weights: r.weights, number: r.number}
-		r.cache[hash] = b
-		r.line = append(r.line, b)
-		r.changes = append(r.changes, change{r.number, hash, false})
 	}
+	if r.options.Store != "" && len(made) > 0 {
+		go func() { _ = r.post(context.Background(), r.options.Store+"/kv/put", made, nil) }()
+	}
+}
+
+// keep adds a block to the cache and drops the oldest over the bound; r.mu is held.
+func (r *Replica) keep(kv kvBlock) {
+	r.number++
+	b := &block{hash: kv.Hash, tenant: kv.Tenant, weights: kv.Weights}
+	r.cache[b.hash] = b
+	r.line = append(r.line, b)
+	r.changes = append(r.changes, change{r.number, b.hash, false})
 	for len(r.line) > r.options.Blocks {
 		old := r.line[0]
 		r.line = r.line[1:]
