After a hold the proxies release in turn

Cause: at the end of each hold all eight proxies sent at once, and each was refused; the hold then ended for all at once again. Ruled out: the spread of the hold (under 110 ms) and the fallback delay. Conclusion: one probe, whose refusal extends the hold before the others send; no proxy sends before the common moment.

--- a/backlog/backlog.go
+++ b/backlog/backlog.go
@@ -31,8 +31,10 @@
 	Draw func(item *Item) (G, bool)
 	// Return gives back a credit whose item left in the moment of the grant.
 	Return func(credit G)
-	// HeldUntil gives the scope's not-before moment, or zero.
+	// HeldUntil gives the scope's latest not-before moment, passed or not; zero if there was none.
 	HeldUntil func(scope string) time.Time
+	// Turn is how long after that moment this process may begin to release; others go before it.
+	Turn func(scope string) time.Duration
 }
 
 // Backlog is all queues of one proxy.
@@ -66,6 +68,7 @@
 	quantum   = 4
 	paceStep  = 100 * time.Millisecond
 	paceSteps = 8
+	paceMost  = 5 * time.Second // a hold longer past than this is forgotten
 )
 
 // New makes an empty backlog.
@@ -204,24 +207,28 @@
 
 // isReleased looks at the flow's hold and at its pacer (§4.4).
 func (b *Backlog[G]) isReleased(f *flow) bool {
-	now := time.Now()
-	if until := b.options.HeldUntil(f.items[0].Scope); !until.IsZero() && now.Before(until) {
+	now, scope := time.Now(), f.items[0].Scope
+	until := b.options.HeldUntil(scope)
+	if until.IsZero() || now.Sub(until) > paceMost {
+		return true
+	}
+	if !until.Equal(f.heldUntil) {
 		f.heldUntil, f.released = until, 0
+	}
+	if now.Before(until) {
 		b.schedule(until)
 		return false
 	}
-	if f.heldUntil.IsZero() {
-		return true
-	}
-	step := int(now.Sub(f.heldUntil) / paceStep)
-	if step >= paceSteps {
-		f.heldUntil = time.Time{}
-		return true
+	begin := until.Add(b.options.Turn(scope))
+	if now.Before(begin) {
+		b.schedule(begin)
+		return false
 	}
-	if f.released < 2<<step {
+	step := int(now.Sub(begin) / paceStep)
+	if step >= paceSteps || f.released < 1<<step {
 		return true
 	}
-	b.schedule(f.heldUntil.Add(time.Duration(step+1) * paceStep))
+	b.schedule(begin.Add(time.Duration(step+1) * paceStep))
 	return false
 }
 
--- a/cmd/fleet/fleet.go
+++ b/cmd/fleet/fleet.go
@@ -158,7 +158,7 @@
 	}
 	f.proxies, f.admins = append(f.proxies, at[2]), append(f.admins, at[3])
 	return f.run(fmt.Sprintf("proxy-%d", i+1), "proxy", "-name", fmt.Sprintf("proxy-%d", i+1), "-zone", zone, "-fleet", fleetName,
-		"-address", at[2], "-agent", at[1], "-admin", at[3], "-grace_ms", "3000")
+		"-address", at[2], "-agent", at[1], "-admin", at[3], "-grace_ms", "3000", "-index", strconv.Itoa(f.options.index))
 }
 
 // declare gives the fleet its blueprint, keys and replicas.
--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -33,6 +33,7 @@
 	set.IntVar(&o.rate, "rate", 0, "requests a second; 0: as the deployment has it")
 	set.Uint64Var(&o.seed, "seed", 1, "seed of the callers' mix and of the script")
 	set.BoolVar(&o.isObserve, "observe", false, "hold in observe-only mode: for paired runs without the shared hold")
+	set.IntVar(&o.index, "index", 200000, "entries of each proxy's index of kept prompts; 0: none")
 	script := set.String("script", "throttle", "what happens during the run")
 	_ = set.Parse(os.Args[1:])
 	chosen, err := findScript(*script)
@@ -67,6 +68,7 @@
 	proxies, replicas, count, rate  int
 	seed                            uint64
 	isObserve                       bool
+	index                           int
 }
 
 func (o *options) check() error {
--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -13,6 +13,7 @@
 	agent := s.Address("agent", "`ip:port` of the agent on loopback")
 	admin := s.Address("admin", "`ip:port` on loopback for queries and readiness")
 	grace := s.Whole("grace_ms", 8000, 0, 600000, "how many `ms` running streams have after a stop")
+	index := s.Whole("index", 200000, 0, 10000000, "entries of the index of kept prompts; 0: none")
 	s.Needed("name", "zone", "address", "agent", "admin")
 	daemon.Main(s, func(ctx context.Context) error {
 		callers, err := s.Place.Net.Listen(s.Place.Address)
@@ -24,7 +25,7 @@
 			return err
 		}
 		proxy := daemon.NewProxy(s.Place, daemon.ProxyOptions{
-			Agent: *agent, Admin: *admin, Grace: time.Duration(*grace) * time.Millisecond, Seed: uint64(time.Now().UnixNano()),
+			Agent: *agent, Admin: *admin, Grace: time.Duration(*grace) * time.Millisecond, Seed: uint64(time.Now().UnixNano()), Index: *index,
 		})
 		return proxy.Serve(ctx, callers, queries)
 	})
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -22,13 +22,14 @@
 	Admin string // where the agent reaches this proxy's queries
 	Grace time.Duration
 	Seed  uint64
+	Index int
 }
 
 // NewProxy makes a proxy.
 func NewProxy(place Place, options ProxyOptions) *Proxy {
 	return &Proxy{place: place, grace: options.Grace, Router: router.New(router.Options{
 		Name: place.Name, Zone: place.Zone, Fleet: place.Fleet, Agent: options.Agent, Admin: options.Admin,
-		Net: place.Net, Log: place.Log, Seed: options.Seed,
+		Net: place.Net, Log: place.Log, Seed: options.Seed, Index: options.Index,
 	})}
 }
 
--- a/hold/table.go
+++ b/hold/table.go
@@ -85,13 +85,20 @@
 
 // Until gives the scope's moment; zero if it has passed or only observes.
 func (t *Table) Until(scope string) time.Time {
+	if until := t.Last(scope); time.Now().Before(until) {
+		return until
+	}
+	return time.Time{}
+}
+
+// Last gives the scope's latest moment, passed or not; zero if there was none.
+func (t *Table) Last(scope string) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.scopes[scope]
-	if e == nil || !time.Now().Before(e.Until) {
-		return time.Time{}
+	if e := t.scopes[scope]; e != nil {
+		return e.Until
 	}
-	return e.Until
+	return time.Time{}
 }
 
 // All lists the holds that still run, with what remains of each.
--- a/router/router.go
+++ b/router/router.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"math/bits"
 	mathrand "math/rand/v2"
 	"net/http"
 	"strings"
@@ -46,7 +47,8 @@
 	Seed    uint64
 	Dialect Dialect
 	Filters []Filter // policies of one's own, after identity and path are known
-	Audit   int      // events kept
+	Audit   int      // events kept; 0: 4096
+	Index   int      // entries of the index of kept prompts; 0: no index, the draw goes by load and by the prompt's opening
 	Admin   string   // where the agent reaches this router's queries
 }
 
@@ -105,7 +107,7 @@
 			DialContext: options.Net.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second,
 			DisableCompression: true,
 		},
-		names: indices{map[string]int{}}, signals: hold.NewSignals(), index: prompt.NewIndex(200000),
+		names: indices{map[string]int{}}, signals: hold.NewSignals(), index: prompt.NewIndex(options.Index),
 		audit: newAudit(options.Audit), counts: newCounts(), budget: budget{tokens: budgetAllowance},
 		run: rand.Text()[:8], streaks: streaks{byScope: map[string]int{}},
 		random:  &lockedRandom{r: mathrand.New(mathrand.NewPCG(options.Seed, h.Sum64()))},
@@ -113,7 +115,7 @@
 	}
 	r.table = hold.NewTable(func(e hold.Entry) { r.backlog.WakeAll() })
 	r.backlog = backlog.New(backlog.Options[credit]{
-		Draw: r.draw, Return: r.giveBack, HeldUntil: r.table.Until,
+		Draw: r.draw, Return: r.giveBack, HeldUntil: r.table.Last, Turn: r.turn,
 	})
 	r.follower = link.NewFollower(link.FollowerOptions{
 		Wire: r.wire, Address: options.Agent, Path: "/agent/pull", Wait: 100 * time.Millisecond,
@@ -268,6 +270,24 @@
 	return until != nil && r.view.Load() != nil && time.Now().Before(*until)
 }
 
+// turn spreads the first releases after a hold over the proxies: the first by rendezvous rank goes at once, the second a step later,
+// then two, four and so on. If the first is refused again, the others hear of it before they send (§4.4).
+func (r *Router) turn(scope string) time.Duration {
+	v := r.view.Load()
+	if v == nil {
+		return 0
+	}
+	own, before := register.Weight(scope, r.options.Name), 0
+	for _, name := range v.proxies {
+		if register.Weight(scope, name) > own {
+			before++
+		}
+	}
+	return time.Duration(bits.Len(uint(before))) * turnStep
+}
+
+const turnStep = 100 * time.Millisecond
+
 // IsReady is for the platform's check.
 func (r *Router) IsReady() bool { return r.IsCurrent() && !r.stopping.Load() }
 
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -137,7 +137,7 @@
 	local, outer := must(p.Net.Listen(ip+":7001")), must(p.Net.Listen(p.Address))
 	q := p
 	q.Name, q.Log = fmt.Sprintf("proxy-%d", i+1), f.Options.Log.With().Str("daemon", fmt.Sprintf("proxy-%d", i+1)).Logger()
-	proxy := daemon.NewProxy(q, daemon.ProxyOptions{Agent: ip + ":7001", Admin: ip + ":7003", Grace: time.Second, Seed: f.Options.Seed})
+	proxy := daemon.NewProxy(q, daemon.ProxyOptions{Agent: ip + ":7001", Admin: ip + ":7003", Grace: time.Second, Seed: f.Options.Seed, Index: 200000})
 	callers, admin := must(p.Net.Listen(ip+":7002")), must(p.Net.Listen(ip+":7003"))
 	f.mu.Lock()
 	f.Proxies[i] = proxy
