--- /dev/null
+++ b/backlog/backlog_test.go
@@ -0,0 +1,159 @@
+package backlog
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"asterridge/fail"
+)
+
+// desk has a number of credits, and counts how often it is asked.
+type desk struct {
+	mu    sync.Mutex
+	free  int
+	draws int
+	until time.Time
+	turn  time.Duration
+}
+
+func (d *desk) backlog() *Backlog[int] {
+	return New(Options[int]{
+		Draw: func(*Item) (int, bool) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.draws++
+			if d.free == 0 {
+				return 0, false
+			}
+			d.free--
+			return 1, true
+		},
+		Return: func(int) { d.back() },
+		HeldUntil: func(scope string) time.Time {
+			if scope == "held" {
+				return d.until
+			}
+			return time.Time{}
+		},
+		Turn: func(string) time.Duration { return d.turn },
+	})
+}
+
+func (d *desk) back() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.free++
+}
+
+func item(tenant, weight, cost int, scope string) *Item {
+	return &Item{Tenant: tenant, Pool: 1, Weight: weight, Cost: cost, Limit: 1000, Scope: scope}
+}
+
+// Two tenants with work of different cost, one of double weight: what each is given follows weight and cost.
+func TestSharesFollowWeightAndCost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &desk{free: 2}
+		b := d.backlog()
+		ctx, stop := context.WithCancel(t.Context())
+		var mu sync.Mutex
+		given := map[int]int{}
+		work := func(tenant, weight, cost int) {
+			for range 200 {
+				go func() {
+					it := item(tenant, weight, cost, "")
+					if _, err := b.Take(ctx, it); err != nil {
+						return
+					}
+					mu.Lock()
+					given[tenant] += cost
+					mu.Unlock()
+					time.Sleep(10 * time.Millisecond)
+					d.back()
+					b.Wake(1)
+				}()
+			}
+		}
+		work(1, 1, 1)
+		work(2, 2, 1)
+		work(3, 1, 4)
+		time.Sleep(600 * time.Millisecond)
+		stop()
+		synctest.Wait()
+		t.Log("cost given by tenant:", given)
+		is.True(given[2] > given[1]*17/10 && given[2] < given[1]*23/10)
+		is.True(given[3] > given[1]*7/10 && given[3] < given[1]*13/10)
+	})
+}
+
+func TestWaitingCostsNoDrawsAndAFullQueueBouncesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &desk{}
+		b := d.backlog()
+		for range 3 {
+			go func() {
+				it := item(1, 1, 1, "")
+				it.Limit = 3
+				short, stop := context.WithTimeout(t.Context(), time.Minute)
+				defer stop()
+				_, err := b.Take(short, it)
+				is.True(fail.Is(err, fail.Stale))
+			}()
+		}
+		synctest.Wait()
+		before, began := d.draws, time.Now()
+		full := item(1, 1, 1, "")
+		full.Limit = 3
+		_, err := b.Take(t.Context(), full)
+		is.True(fail.Is(err, fail.BacklogFull))
+		is.Equal(time.Since(began), time.Duration(0))
+		time.Sleep(2 * time.Minute)
+		is.Equal(d.draws, before) // nobody asked for a credit in all that time
+		is.Equal(len(b.Depths()), 0)
+	})
+}
+
+func TestAHoldReleasesInStepsAndAReturningItemKeepsItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &desk{free: 100, until: time.Now().Add(5 * time.Second), turn: 200 * time.Millisecond}
+		b := d.backlog()
+		began := time.Now()
+		var mu sync.Mutex
+		var order []int
+		var times []time.Duration
+		var all sync.WaitGroup
+		take := func(n int, it *Item) {
+			all.Go(func() {
+				_, err := b.Take(t.Context(), it)
+				is.NoErr(err)
+				mu.Lock()
+				defer mu.Unlock()
+				order, times = append(order, n), append(times, time.Since(began))
+			})
+			synctest.Wait()
+		}
+		first := item(1, 1, 1, "held")
+		first.place = 1 // it was here before, and comes again after the others
+		b.places = 1
+		for n := 2; n <= 8; n++ {
+			take(n, item(1, 1, 1, "held"))
+		}
+		take(1, first)
+		take(99, item(2, 1, 1, "free"))
+		all.Wait()
+		is.Equal(order[0], 99) // another tenant does not wait
+		is.Equal(times[0], time.Duration(0))
+		is.Equal(order[1], 1)
+		is.Equal(times[1], 5200*time.Millisecond) // the moment and our turn; nothing before
+		is.Equal(times[2], 5300*time.Millisecond)
+		is.Equal(times[3], 5400*time.Millisecond)
+		is.Equal(times[8], 5500*time.Millisecond)
+	})
+}
--- a/fail/fail_test.go
+++ b/fail/fail_test.go
@@ -2,20 +2,17 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
-)
 
-var isApproving = flag.Bool("approve", false, "write docs/codes.md anew")
+	"asterridge/transcript"
+)
 
 // The page is the table: it cannot drift.
 func TestCodesPageIsTheTable(t *testing.T) {
-	is := is.New(t)
 	var b strings.Builder
 	b.WriteString("# Result codes\n\nEvery error has a number that never changes its meaning. Callers find it in the header `X-Result-Code` and in the body\n" +
 		"(`error.number`), and in `X-Ran` what is known of their request: `no` is a promise, `unknown` is not.\nMade from `fail/fail.go` by `go test ./fail -approve`.\n\n" +
@@ -23,13 +20,7 @@
 	for _, c := range Codes() {
 		fmt.Fprintf(&b, "| %d | `%s` | %d | %s | %s |\n", c.Number, c.Name, c.Status, c.Ran, c.Text)
 	}
-	const page = "../docs/codes.md"
-	if *isApproving {
-		is.NoErr(os.WriteFile(page, []byte(b.String()), 0o644))
-	}
-	raw, err := os.ReadFile(page)
-	is.NoErr(err)
-	is.Equal(string(raw), b.String())
+	transcript.Approve(t, "../docs/codes.md", b.String())
 }
 
 func TestWrapKeepsTheFirstCodeAndGivesAllWords(t *testing.T) {
--- a/sim/chaos_test.go
+++ b/sim/chaos_test.go
@@ -127,9 +127,11 @@
 
 // Random faults, two at a time, under load: no rule is broken, and service is back within 12 s of the last.
 func TestRandomFaultsUnderLoad(t *testing.T) {
+	t.Parallel()
 	for n := range uint64(*chaosSeeds) {
 		seed := *chaosFirst + n
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			inBubble(t, options(seed), func(is *is.I, f *Fleet) {
 				random := rand.New(rand.NewPCG(seed, 3))
 				var script []string
--- a/sim/exchange_test.go
+++ b/sim/exchange_test.go
@@ -3,12 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"path/filepath"
 	"regexp"
 	"strings"
 	"sync"
@@ -21,31 +18,11 @@
 	"asterridge/blueprint"
 	"asterridge/daemon"
 	"asterridge/standin"
+	"asterridge/transcript"
 )
 
-var isApproving = flag.Bool("approve", false, "write the transcripts anew")
-
 var changing = regexp.MustCompile(`[A-Z2-7]{26}|"content":"[0-9a-f]{12}"|"again_ms":[0-9]+`)
 
-// approve compares a transcript with the approved one.
-func approve(t *testing.T, name, text string) {
-	t.Helper()
-	text = changing.ReplaceAllString(text, "…")
-	path := filepath.Join("testdata", name+".txt")
-	if *isApproving {
-		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if string(want) != text {
-		t.Errorf("transcript %s differs; go test -approve after reading it.\nhas:\n%s\nwants:\n%s", name, text, want)
-	}
-}
-
 // exchange writes down one whole exchange with a proxy.
 func (f *Fleet) exchange(proxy int, method, address string, header map[string]string, body string) string {
 	q := must(http.NewRequest(method, "http://"+ProxyAddress(proxy)+address, strings.NewReader(body)))
@@ -93,6 +70,7 @@
 const chatAddress = "/v1/chat/completions"
 
 func TestTranscriptOfWholeExchanges(t *testing.T) {
+	t.Parallel()
 	inBubble(t, options(3), func(is *is.I, f *Fleet) {
 		var out strings.Builder
 		say := func(title, exchange string) { fmt.Fprintf(&out, "# %s\n%s", title, exchange) }
@@ -124,7 +102,7 @@
 		must(f.Order(0, "keys", daemon.KeyOrder{Tenant: "b", Hash: blueprint.HashKey("b-key"), IsRevoked: true}))
 		time.Sleep(time.Second)
 		say("a revoked key", f.exchange(0, "POST", chatAddress, bearer("b"), chat("light")))
-		approve(t, "exchanges", out.String())
+		transcript.Approve(t, "testdata/exchanges.txt", changing.ReplaceAllString(out.String(), "…"))
 		noBreach(is, f)
 	})
 }
@@ -168,6 +146,7 @@
 
 // net/http resends by itself on a reused connection if it thinks a request replayable: with a key, that would be a second run.
 func TestNothingIsResentOnAConnectionThatDiesAfterReading(t *testing.T) {
+	t.Parallel()
 	inBubble(t, options(4), func(is *is.I, f *Fleet) {
 		e := &evil{good: 1}
 		defer f.replaceReplicas(e)()
--- a/sim/faults_test.go
+++ b/sim/faults_test.go
@@ -36,6 +36,7 @@
 }
 
 func TestWeightsRollUnderLoad(t *testing.T) {
+	t.Parallel()
 	inBubble(t, options(10), func(is *is.I, f *Fleet) {
 		all := f.during(800, 25, 10, func() {
 			time.Sleep(5 * time.Second)
@@ -55,6 +56,7 @@
 }
 
 func TestRevokedKeyEndsForConnectedClientsAndWaitingWork(t *testing.T) {
+	t.Parallel()
 	inBubble(t, options(11), func(is *is.I, f *Fleet) {
 		all := f.during(600, 30, 11, func() {
 			time.Sleep(5 * time.Second)
@@ -80,6 +82,7 @@
 }
 
 func TestLeavingReplicaGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	inBubble(t, options(12), func(is *is.I, f *Fleet) {
 		f.during(500, 30, 12, func() {
 			time.Sleep(4 * time.Second)
@@ -98,44 +101,49 @@
 }
 
 func TestOneCoreLostAndBack(t *testing.T) {
+	t.Parallel()
 	for lost := range 4 {
-		inBubble(t, options(uint64(20+lost)), func(is *is.I, f *Fleet) {
-			var longest time.Duration
-			all := f.during(600, 30, uint64(20+lost), func() {
-				time.Sleep(4 * time.Second)
-				f.Kill(CoreIP(lost))
-				for n := range 8 {
-					began := time.Now()
-					f.Until(5*time.Second, "a change is accepted with one core dead", func() bool {
-						_, err := f.merge(fmt.Sprintf(`{"tenants":[{"name":"a","weight":%d}]}`, n+2))
-						return err == nil
-					})
-					longest = max(longest, time.Since(began))
-					time.Sleep(300 * time.Millisecond)
-				}
-				f.StartCore(lost)
-				f.Until(8*time.Second, "the core that came back has all", func() bool {
-					a, err := f.Query(lost, "owners")
-					if err != nil {
-						return false
+		t.Run(fmt.Sprint(lost+1), func(t *testing.T) {
+			t.Parallel()
+			inBubble(t, options(uint64(20+lost)), func(is *is.I, f *Fleet) {
+				var longest time.Duration
+				all := f.during(600, 30, uint64(20+lost), func() {
+					time.Sleep(4 * time.Second)
+					f.Kill(CoreIP(lost))
+					for n := range 8 {
+						began := time.Now()
+						f.Until(5*time.Second, "a change is accepted with one core dead", func() bool {
+							_, err := f.merge(fmt.Sprintf(`{"tenants":[{"name":"a","weight":%d}]}`, n+2))
+							return err == nil
+						})
+						longest = max(longest, time.Since(began))
+						time.Sleep(300 * time.Millisecond)
 					}
-					for _, row := range a.Rows {
-						if row["key"] == blueprint.Key {
-							return row["version"].(float64) == 9 && row["settled"] == true
+					f.StartCore(lost)
+					f.Until(8*time.Second, "the core that came back has all", func() bool {
+						a, err := f.Query(lost, "owners")
+						if err != nil {
+							return false
 						}
-					}
-					return false
+						for _, row := range a.Rows {
+							if row["key"] == blueprint.Key {
+								return row["version"].(float64) == 9 && row["settled"] == true
+							}
+						}
+						return false
+					})
 				})
+				t.Logf("core %d dead: longest wait for a change %v", lost+1, longest)
+				is.True(longest < 3*time.Second)
+				is.True(whole(all) > len(all)*85/100)
+				noBreach(is, f)
 			})
-			t.Logf("core %d dead: longest wait for a change %v", lost+1, longest)
-			is.True(longest < 3*time.Second)
-			is.True(whole(all) > len(all)*85/100)
-			noBreach(is, f)
 		})
 	}
 }
 
 func TestAllKilledAtOnceComeBackWithConfigurationClaimsAndHolds(t *testing.T) {
+	t.Parallel()
 	inBubble(t, options(30), func(is *is.I, f *Fleet) {
 		status, _, _ := f.Ask(0, "a", "before", chat("light"))
 		is.Equal(status, 200)
@@ -187,6 +195,7 @@
 }
 
 func TestCutOffProxyStopsAdmittingAndItsStreamsFinish(t *testing.T) {
+	t.Parallel()
 	inBubble(t, options(31), func(is *is.I, f *Fleet) {
 		long := `{"model":"light","stream":true,"max_tokens":600,"messages":[{"role":"user","content":"a long one"}]}`
 		var running sync.WaitGroup
@@ -218,6 +227,7 @@
 }
 
 func TestSplitCoreAcceptsNothingInAMinority(t *testing.T) {
+	t.Parallel()
 	ips := []string{CoreIP(0), CoreIP(1), CoreIP(2), CoreIP(3)}
 	inBubble(t, options(32), func(is *is.I, f *Fleet) {
 		all := f.during(700, 30, 32, func() {
@@ -249,6 +259,7 @@
 }
 
 func TestStalledAndFullDisksMoveOwnershipAndNothingElse(t *testing.T) {
+	t.Parallel()
 	inBubble(t, options(33), func(is *is.I, f *Fleet) {
 		all := f.during(600, 30, 33, func() {
 			time.Sleep(3 * time.Second)
@@ -278,6 +289,7 @@
 }
 
 func TestTwoOperatorsRaceAndBurstWithoutLosingWork(t *testing.T) {
+	t.Parallel()
 	inBubble(t, options(34), func(is *is.I, f *Fleet) {
 		var operators sync.WaitGroup
 		var mu sync.Mutex
--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -58,6 +58,7 @@
 }
 
 func TestOrdinaryTrafficIsServedWhole(t *testing.T) {
+	t.Parallel()
 	inBubble(t, options(1), func(is *is.I, f *Fleet) {
 		all := f.Load(300, 30, callers, 1)
 		is.True(whole(all) >= 260) // a tenth are calls of a web back end that this plan lacks
@@ -66,6 +67,7 @@
 }
 
 func TestOneThrottledTenantIsHeldByEveryProxy(t *testing.T) {
+	t.Parallel()
 	inBubble(t, options(2), func(is *is.I, f *Fleet) {
 		for _, r := range f.Replicas {
 			r.Behave(standin.Behaviour{Tenant: "a", IsRefusing: true, RetryAfter: "3"})
--- a/sim/signals_test.go
+++ b/sim/signals_test.go
@@ -24,6 +24,7 @@
 
 // What is slow or refuses for everyone is the replica's matter; what does so for one tenant holds that tenant and no other.
 func TestSignalsHoldTheThrottledTenantAlone(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name    string
 		conduct standin.Behaviour
@@ -40,6 +41,7 @@
 	}
 	for n, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			inBubble(t, options(uint64(40+n)), func(is *is.I, f *Fleet) {
 				met := map[string]bool{}
 				f.during(700, 40, uint64(40+n), func() {
--- /dev/null
+++ b/transcript/transcript.go
@@ -0,0 +1,27 @@
+// Package transcript compares what tests wrote down with the approved text (docs/design.md §8).
+package transcript
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+var isApproving = flag.Bool("approve", false, "write the approved texts anew")
+
+// Approve compares a text with the approved file; with -approve it writes the file.
+func Approve(t *testing.T, path, text string) {
+	t.Helper()
+	if *isApproving {
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(want) != text {
+		t.Errorf("%s differs; read it, then go test -approve.\nhas:\n%s\nwants:\n%s", path, text, want)
+	}
+}
