--- a/cmd/fleet/fleet.go
+++ b/cmd/fleet/fleet.go
@@ -352,6 +352,7 @@
 	limit := time.After(time.Duration(f.options.count/f.options.rate+90) * time.Second)
 	select {
 	case <-f.processes["callers"].ended:
+		f.noteCounts()
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -360,6 +361,20 @@
 	}
 }
 
+// noteCounts adds up what the proxies counted.
+func (f *fleet) noteCounts() {
+	sum := map[string]float64{}
+	for _, row := range f.query("counts") {
+		for name, value := range row {
+			if n, isNumber := value.(float64); isNumber {
+				sum[name] += n
+			}
+		}
+	}
+	f.note("claims %.0f, mean %.1f ms; first shots %.0f, second shots %.0f, throttles seen %.0f",
+		sum["claims"], sum["claim_us"]/max(1, sum["claims"])/1000, sum["first_shots"], sum["second_shots"], sum["throttles"])
+}
+
 func readLines[T any](path string) []T {
 	file, err := os.Open(path)
 	if err != nil {
--- a/cmd/fleet/scripts.go
+++ b/cmd/fleet/scripts.go
@@ -2,17 +2,20 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"path/filepath"
 	"strings"
 	"time"
 
+	"asterridge/daemon"
 	"asterridge/standin"
 )
 
 var scripts = []script{
 	{"calm", "nothing happens", func(context.Context, *fleet) error { return nil }},
 	{"stay", "the callers ask, and the fleet stays up until it is interrupted", stay},
+	{"large", "a blueprint of 5000 tenants is accepted, then small changes upon it", large},
 	{"throttle", "every replica refuses one tenant for four seconds", throttle},
 }
 
@@ -58,3 +61,34 @@
 	<-ctx.Done()
 	return nil
 }
+
+// large measures how long a very large blueprint and small changes upon it take, to the operator's yes and to the last proxy.
+func large(ctx context.Context, f *fleet) error {
+	after(ctx, 2*time.Second)
+	var more []map[string]any
+	for i := range 5000 {
+		more = append(more, map[string]any{"name": fmt.Sprintf("visitor-%d", i), "weight": 1 + i%50, "backlog": 16})
+	}
+	text, err := json.Marshal(map[string]any{"tenants": more})
+	if err != nil {
+		return err
+	}
+	for n := range 4 {
+		what := fmt.Sprintf("a blueprint of %d bytes", len(text))
+		if n > 0 {
+			text = fmt.Appendf(nil, `{"tenants":[{"name":"visitor-1","weight":%d}]}`, 60+n)
+			what = "a small change upon it"
+		}
+		began := time.Now()
+		a, err := f.order(ctx, "blueprint", daemon.BlueprintOrder{Text: text, IsPartial: true})
+		if err != nil {
+			return err
+		}
+		accepted := time.Since(began)
+		if err := eventually(ctx, 20*time.Second, "all proxies have "+what, func() bool { return f.areReady(a.Version) }); err != nil {
+			return err
+		}
+		f.note("%s: accepted after %d ms, used by the last proxy after %d ms", what, accepted.Milliseconds(), time.Since(began).Milliseconds())
+	}
+	return nil
+}
