--- a/cmd/fleet/fleet.go
+++ b/cmd/fleet/fleet.go
@@ -223,6 +223,45 @@
 	return nil
 }
 
+// signal sends a signal to a process that this tool started.
+func (f *fleet) signal(name string, s syscall.Signal) error {
+	return f.processes[name].cmd.Process.Signal(s)
+}
+
+// end stops processes, by SIGKILL or SIGTERM, and waits until they are gone.
+func (f *fleet) end(s syscall.Signal, names ...string) error {
+	for _, name := range names {
+		if err := f.signal(name, s); err != nil {
+			return err
+		}
+	}
+	for _, name := range names {
+		<-f.processes[name].ended
+	}
+	return nil
+}
+
+// again starts processes anew, with what they were started with.
+func (f *fleet) again(names ...string) error {
+	for _, name := range names {
+		p := f.processes[name]
+		if err := f.run(name, p.program, p.args...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// daemons names the fleet's own processes: cores, agents, proxies.
+func (f *fleet) daemons() (all []string) {
+	for _, name := range f.started {
+		if p := f.processes[name].program; p == "core" || p == "agent" || p == "proxy" {
+			all = append(all, name)
+		}
+	}
+	return all
+}
+
 // stop ends all processes that this tool started: kindly first, then not.
 func (f *fleet) stop() {
 	for i := len(f.started) - 1; i >= 0; i-- {
--- a/cmd/fleet/scripts.go
+++ b/cmd/fleet/scripts.go
@@ -4,10 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
+	"asterridge/blueprint"
 	"asterridge/daemon"
 	"asterridge/standin"
 )
@@ -16,6 +19,13 @@
 	{"calm", "nothing happens", func(context.Context, *fleet) error { return nil }},
 	{"stay", "the callers ask, and the fleet stays up until it is interrupted", stay},
 	{"large", "a blueprint of 5000 tenants is accepted, then small changes upon it", large},
+	{"weights", "new weights are accepted for both pools and roll over the replicas", weights},
+	{"revoke", "a tenant's key is revoked, and a replica leaves", revoke},
+	{"kill", "a core is killed while changes go on, and comes back", killCore},
+	{"kill-all", "all cores, agents and proxies are killed at once and started again", killAll},
+	{"freeze", "a core, an agent and a proxy are frozen in turn past every term, with a change meanwhile", freeze},
+	{"lose-disk", "a core is killed and its disk emptied; it is retired and admitted anew", loseDisk},
+	{"roll", "every daemon is stopped kindly and started again, one after another", rollDaemons},
 	{"throttle", "every replica refuses one tenant for four seconds", throttle},
 }
 
@@ -92,3 +102,208 @@
 	}
 	return nil
 }
+
+// change has a small change accepted, and notes how long that and the way to the last proxy took.
+func (f *fleet) change(ctx context.Context, what string, weight int) error {
+	began := time.Now()
+	text := fmt.Appendf(nil, `{"tenants":[{"name":%q,"weight":%d}]}`, f.keys[0].Tenant, weight)
+	var a daemon.Accepted
+	err := eventually(ctx, 12*time.Second, "a change is accepted "+what, func() (isSo bool) {
+		var err error
+		a, err = f.order(ctx, "blueprint", daemon.BlueprintOrder{Text: text, IsPartial: true})
+		return err == nil
+	})
+	if err != nil {
+		return err
+	}
+	accepted := time.Since(began)
+	if err := eventually(ctx, 12*time.Second, "all proxies have the change "+what, func() bool { return f.areReady(a.Version) }); err != nil {
+		return err
+	}
+	f.note("%s: a change accepted after %d ms, used by every proxy after %d ms", what, accepted.Milliseconds(), time.Since(began).Milliseconds())
+	return nil
+}
+
+func weights(ctx context.Context, f *fleet) error {
+	after(ctx, 3*time.Second)
+	began := time.Now()
+	for _, pool := range []string{"quick", "deep"} {
+		text := fmt.Appendf(nil, `{"pools":[{"name":%q,"weights":"w2"}]}`, pool)
+		if _, err := f.order(ctx, "blueprint", daemon.BlueprintOrder{Text: text, IsPartial: true}); err != nil {
+			return err
+		}
+		f.fact("weights", pool, "w2")
+	}
+	err := eventually(ctx, 30*time.Second, "all replicas have the new weights", func() bool {
+		done := map[string]bool{}
+		for _, row := range f.query("replicas") {
+			if row["weights"] == "w2" && row["pool"] != "web" {
+				done[row["replica"].(string)] = true
+			}
+		}
+		return len(done) == f.options.replicas
+	})
+	if err == nil {
+		f.note("all %d replicas are on the new weights after %d ms", f.options.replicas, time.Since(began).Milliseconds())
+	}
+	return err
+}
+
+func revoke(ctx context.Context, f *fleet) error {
+	after(ctx, 3*time.Second)
+	victim := f.keys[1]
+	if _, err := f.order(ctx, "keys", daemon.KeyOrder{Tenant: victim.Tenant, Hash: blueprint.HashKey(victim.Access), IsRevoked: true}); err != nil {
+		return err
+	}
+	f.fact("revoked", victim.Access, "")
+	if _, err := f.order(ctx, "replicas", daemon.ReplicasOrder{Text: []byte(`{"replicas":[{"name":"deep-1","state":"leaving"}]}`)}); err != nil {
+		return err
+	}
+	f.fact("leaving", "deep-1", "")
+	return nil
+}
+
+func killCore(ctx context.Context, f *fleet) error {
+	for i := range 4 {
+		name := fmt.Sprintf("core-%d", i+1)
+		after(ctx, 2*time.Second)
+		if err := f.end(syscall.SIGKILL, name); err != nil {
+			return err
+		}
+		if err := f.change(ctx, "with "+name+" killed", 10+i); err != nil {
+			return err
+		}
+		if err := f.again(name); err != nil {
+			return err
+		}
+		if err := eventually(ctx, 12*time.Second, name+" is ready again", f.isFounded); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func killAll(ctx context.Context, f *fleet) error {
+	after(ctx, 3*time.Second)
+	if err := f.change(ctx, "before all are killed", 17); err != nil {
+		return err
+	}
+	version, names := f.newest(), f.daemons()
+	if err := f.end(syscall.SIGKILL, names...); err != nil {
+		return err
+	}
+	after(ctx, time.Second)
+	began := time.Now()
+	if err := f.again(names...); err != nil {
+		return err
+	}
+	if err := eventually(ctx, 12*time.Second, "service is back with what was accepted", func() bool { return f.areReady(version) }); err != nil {
+		return err
+	}
+	f.note("all %d daemons killed: every proxy ready again with version %d after %d ms", len(names), version, time.Since(began).Milliseconds())
+	return f.change(ctx, "after all were killed", 18)
+}
+
+// newest is the version of the last blueprint that was accepted.
+func (f *fleet) newest() (version uint64) {
+	for _, fact := range f.facts {
+		if fact.Kind == "blueprint" {
+			_, _ = fmt.Sscan(fact.Value, &version)
+		}
+	}
+	return version
+}
+
+func freeze(ctx context.Context, f *fleet) error {
+	for i, name := range []string{"core-2", "agent-1", "proxy-2", "core-4"} {
+		after(ctx, time.Second)
+		if err := f.signal(name, syscall.SIGSTOP); err != nil {
+			return err
+		}
+		text := fmt.Appendf(nil, `{"tenants":[{"name":%q,"weight":%d}]}`, f.keys[0].Tenant, 30+i)
+		began := time.Now()
+		err := eventually(ctx, 12*time.Second, "a change is accepted with "+name+" frozen", func() bool {
+			_, err := f.order(ctx, "blueprint", daemon.BlueprintOrder{Text: text, IsPartial: true})
+			return err == nil
+		})
+		f.note("%s frozen: a change accepted after %d ms", name, time.Since(began).Milliseconds())
+		after(ctx, 5*time.Second)
+		if wake := f.signal(name, syscall.SIGCONT); err == nil {
+			err = wake
+		}
+		if err != nil {
+			return err
+		}
+		began = time.Now()
+		if err := eventually(ctx, 12*time.Second, "all are ready after "+name+" woke", func() bool { return f.areReady(f.newest()) }); err != nil {
+			return err
+		}
+		f.note("%s woken: every proxy ready with the newest blueprint after %d ms", name, time.Since(began).Milliseconds())
+	}
+	return nil
+}
+
+func loseDisk(ctx context.Context, f *fleet) error {
+	after(ctx, 2*time.Second)
+	if err := f.change(ctx, "just before a disk is lost", 40); err != nil {
+		return err
+	}
+	if err := f.end(syscall.SIGKILL, "core-3"); err != nil {
+		return err
+	}
+	if err := os.RemoveAll(f.path("core-3")); err != nil {
+		return err
+	}
+	if err := f.again("core-3"); err != nil {
+		return err
+	}
+	began := time.Now()
+	for _, do := range []string{"retire", "admit"} {
+		err := eventually(ctx, 20*time.Second, do+" core-3", func() bool {
+			_, err := f.order(ctx, "members", daemon.MembersOrder{Do: do, Name: "core-3"})
+			return err == nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	err := eventually(ctx, 20*time.Second, "the keys are carried over", func() bool {
+		rows := f.query("members")
+		for _, row := range rows {
+			if row["state"] != "member" {
+				return false
+			}
+		}
+		return len(rows) == 4
+	})
+	if err != nil {
+		return err
+	}
+	f.note("a lost disk: retired, admitted and all keys carried over after %d ms", time.Since(began).Milliseconds())
+	if err := f.end(syscall.SIGKILL, "core-1"); err != nil {
+		return err
+	}
+	if err := f.change(ctx, "with the readmitted core's vote", 41); err != nil {
+		return err
+	}
+	return f.again("core-1")
+}
+
+func rollDaemons(ctx context.Context, f *fleet) error {
+	names := f.daemons()
+	began := time.Now()
+	for _, name := range names {
+		after(ctx, 300*time.Millisecond)
+		if err := f.end(syscall.SIGTERM, name); err != nil {
+			return err
+		}
+		if err := f.again(name); err != nil {
+			return err
+		}
+		if err := eventually(ctx, 12*time.Second, "all are ready after "+name+" was restarted", func() bool { return f.isFounded() && f.areReady(1) }); err != nil {
+			return err
+		}
+	}
+	f.note("%d daemons restarted one after another in %d ms", len(names), time.Since(began).Milliseconds())
+	return nil
+}
