--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -5,13 +5,23 @@
 	"context"
 
 	"asterridge/daemon"
+	"asterridge/disk"
 )
 
 func main() {
 	s := daemon.NewSettings("agent", "keeps the links to the cores and feeds the proxy beside it")
 	local := s.Address("local", "`ip:port` on loopback, for the proxy beside")
+	data := s.Text("data", "", "`folder` where it keeps the cores' addresses; none if empty")
 	s.Needed("name", "zone", "address", "seeds", "local")
 	daemon.Main(s, func(ctx context.Context) error {
+		var kept disk.Disk
+		if *data != "" {
+			folder, err := disk.NewFolder(*data)
+			if err != nil {
+				return err
+			}
+			kept = folder
+		}
 		inner, err := s.Place.Net.Listen(*local)
 		if err != nil {
 			return err
@@ -20,6 +30,6 @@
 		if err != nil {
 			return err
 		}
-		return daemon.NewAgent(s.Place).Serve(ctx, inner, outer)
+		return daemon.NewAgent(s.Place, kept).Serve(ctx, inner, outer)
 	})
 }
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -11,10 +11,12 @@
 	"time"
 
 	"asterridge/blueprint"
+	"asterridge/disk"
 	"asterridge/fail"
 	"asterridge/hold"
 	"asterridge/link"
 	"asterridge/register"
+	"asterridge/ring"
 	"asterridge/router"
 )
 
@@ -36,6 +38,8 @@
 	plain   *http.Client
 	source  *link.Source
 	table   *hold.Table
+	ring    *ring.Ring
+	disk    disk.Disk // may be nil: then what was learned of the cores is lost with the process
 
 	mu        sync.Mutex
 	members   []blueprint.Member
@@ -56,14 +60,16 @@
 	since time.Time
 }
 
-// NewAgent makes an agent.
-func NewAgent(place Place) *Agent {
+// NewAgent makes an agent. On its disk, if it has one, it keeps where the cores are.
+func NewAgent(place Place, d disk.Disk) *Agent {
 	a := &Agent{
+		disk:  d,
 		place: place, dialect: router.ChatDialect{}, wire: link.NewWire(place.Fleet, place.Net),
 		plain: &http.Client{Transport: &http.Transport{DialContext: place.Net.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}},
 		links: map[string]*link.Follower{}, applied: map[string]register.Stamp{}, undecided: map[string]doubt{},
 		why: "no core found yet", proxies: register.Fields{}, replicas: map[string]context.CancelFunc{}, watched: map[string]blueprint.Replica{},
 	}
+	a.ring = newRing(place, "agent", a.wire)
 	a.source = link.NewSource(link.SourceOptions{Remaining: a.remaining})
 	a.table = hold.NewTable(func(e hold.Entry) {
 		raw, _ := json.Marshal(e.Notice) // a plain struct always encodes
@@ -81,6 +87,8 @@
 	mux.Handle("POST /agent/hold", link.Serve(fleet, a.tellHold))
 	mux.Handle("POST /agent/claim", link.Serve(fleet, a.claim))
 	outer := http.NewServeMux()
+	serveRing(outer, fleet, a.ring)
+	serveMetrics(outer, a.figures)
 	outer.Handle("POST /agent/query", link.Serve(fleet, a.query))
 	outer.Handle("POST /core/hello", link.Serve(fleet, a.hello))
 	outer.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
@@ -89,6 +97,7 @@
 		}
 	})
 	go every(ctx, helloTime, func() { a.discover(ctx) })
+	go a.ring.Run(ctx)
 	go every(ctx, time.Minute, func() { a.table.Prune(time.Hour) })
 	go func() { _ = serve(ctx, listener, outer, time.Second) }()
 	a.place.Log.Info().Str("event", "agent_up").Str("address", a.place.Address).Msg("")
@@ -110,7 +119,7 @@
 		a.connect(ctx, known)
 		return
 	}
-	for _, seed := range a.place.Seeds {
+	for _, seed := range a.asked() {
 		short, stop := context.WithTimeout(ctx, time.Second)
 		h, err := link.Call[Hello](short, a.wire, seed, "/core/hello", Hello{})
 		stop()
@@ -121,6 +130,41 @@
 	}
 }
 
+// asked is whom to ask for the members: the seeds, what the ring has heard of, and what was kept from an earlier life.
+func (a *Agent) asked() []string {
+	all := slices.Clone(a.place.Seeds)
+	for _, d := range a.ring.All()[1:] {
+		all = append(all, d.Address)
+	}
+	if a.disk != nil {
+		var kept []string
+		raw, err := a.disk.Get(selfFolder, coresFile)
+		if err == nil && json.Unmarshal(raw, &kept) == nil {
+			all = append(all, kept...)
+		}
+	}
+	return all
+}
+
+// keepCores writes down where the cores are; a.mu is held, the disk is not waited for.
+func (a *Agent) keepCores() {
+	if a.disk == nil {
+		return
+	}
+	var addresses []string
+	for _, m := range a.members {
+		addresses = append(addresses, m.Address)
+	}
+	raw, _ := json.Marshal(addresses) // strings always encode
+	go func() {
+		if err := a.disk.Put(selfFolder, coresFile, raw); err != nil {
+			a.place.Log.Warn().Str("event", "cores_not_kept").Err(err).Msg("")
+		}
+	}()
+}
+
+const coresFile = "cores"
+
 func (a *Agent) connect(ctx context.Context, members []blueprint.Member) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -327,6 +371,7 @@
 			a.place.Log.Info().Str("event", "applied").Str("key", key).Uint64("epoch", best.Epoch).Uint64("version", best.Version).Msg("")
 			if key == blueprint.MembersKey {
 				a.members, a.prior, _ = readMembers(held.Fields)
+				a.keepCores()
 			}
 		}
 	}
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -18,6 +18,7 @@
 	"asterridge/hold"
 	"asterridge/link"
 	"asterridge/register"
+	"asterridge/ring"
 	"asterridge/router"
 )
 
@@ -46,6 +47,7 @@
 	whole       *link.Source // for the other cores: every key
 	data        *link.Source // for the agents
 	table       *hold.Table
+	ring        *ring.Ring
 	learning    sync.Mutex
 	carrying    sync.Mutex
 	members     atomic.Pointer[council] // nil until the fleet is founded
@@ -68,6 +70,7 @@
 		followers: map[string]*link.Follower{}, met: map[string]string{}, unsettled: map[string]time.Time{}, strangers: map[string]stranger{}, claims: map[string]time.Time{},
 	}
 	c.table = hold.NewTable(c.holdNews)
+	c.ring = newRing(place, "core", c.wire)
 	who := link.SourceOptions{Who: func() string {
 		if c.council().self == nil {
 			return ""
@@ -145,6 +148,7 @@
 	go c.found(ctx)
 	go every(ctx, beatTime, func() { c.beat(ctx) })
 	go c.runDuties(ctx)
+	go c.ring.Run(ctx)
 	c.place.Log.Info().Str("event", "core_up").Str("address", c.place.Address).Str("incarnation", c.incarnation).Msg("")
 	return serve(ctx, listener, c.handler(), time.Second)
 }
@@ -157,6 +161,8 @@
 	mux.Handle("POST /register/promise", link.Serve(fleet, c.promise))
 	mux.Handle("POST /register/accept", link.Serve(fleet, c.accept))
 	mux.Handle("POST /register/settle", link.Serve(fleet, c.settle))
+	serveRing(mux, fleet, c.ring)
+	serveMetrics(mux, c.figures)
 	mux.Handle("POST /query", link.Serve(fleet, c.Query))
 	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
 		if now := c.council(); now.self == nil || len(c.live()) < len(now.members)/2+1 {
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -305,6 +305,8 @@
 			}
 		}
 		c.mu.Unlock()
+	case "daemons":
+		a.Rows = ringRows(c.ring)
 	case "owners":
 		for _, key := range c.keeper.Keys() {
 			r := c.keeper.Read(key)
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -38,7 +38,10 @@
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go p.Router.Run(running)
-	go func() { _ = serve(running, admin, p.Router.Admin(), time.Second) }()
+	mux := http.NewServeMux()
+	mux.Handle("/", p.Router.Admin())
+	serveMetrics(mux, proxyFigures(p.Router))
+	go func() { _ = serve(running, admin, mux, time.Second) }()
 	server := &http.Server{Handler: p.Router.Handler(), ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 2 * time.Minute,
 		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
 	failed := make(chan error, 1)
--- /dev/null
+++ b/daemon/ring.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"asterridge/link"
+	"asterridge/register"
+	"asterridge/ring"
+	"asterridge/router"
+)
+
+const (
+	ringStep = 500 * time.Millisecond
+	watchers = 3
+)
+
+// ringCalls are the ring's messages over the wire.
+type ringCalls struct{ wire *link.Wire }
+
+func (c ringCalls) Beat(ctx context.Context, address string, b ring.Beat) (ring.Answer, error) {
+	return link.Call[ring.Answer](ctx, c.wire, address, "/ring/beat", b)
+}
+
+func (c ringCalls) Doubt(ctx context.Context, address string, d ring.Doubt) (ring.Silence, error) {
+	return link.Call[ring.Silence](ctx, c.wire, address, "/ring/doubt", d)
+}
+
+// newRing makes a daemon's place on the ring and opens its endpoints.
+func newRing(place Place, role string, wire *link.Wire) *ring.Ring {
+	return ring.New(ring.Options{
+		Self:  ring.Daemon{Name: place.Name, Role: role, Zone: place.Zone, Address: place.Address},
+		Seeds: place.Seeds, Calls: ringCalls{wire}, Step: ringStep, Watchers: watchers, Log: place.Log, Seed: register.Weight("seed", place.Name),
+	})
+}
+
+func serveRing(mux *http.ServeMux, fleet string, r *ring.Ring) {
+	mux.Handle("POST /ring/beat", link.Serve(fleet, r.Heard))
+	mux.Handle("POST /ring/doubt", link.Serve(fleet, r.Doubted))
+}
+
+func ringRows(r *ring.Ring) (rows []router.Row) {
+	for _, d := range r.All() {
+		rows = append(rows, router.Row{"name": d.Name, "role": d.Role, "zone": d.Zone, "address": d.Address, "live": !d.IsDown, "life": d.Life})
+	}
+	return rows
+}
--- /dev/null
+++ b/ring/ring_test.go
@@ -0,0 +1,157 @@
+package ring
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"asterridge/register"
+)
+
+// field is a network of rings with loss, on which some are dead or frozen.
+type field struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	loss   float64
+	rings  map[string]*Ring
+	dead   map[string]bool
+}
+
+type caller struct {
+	f    *field
+	from string
+}
+
+func (c caller) reach(address string) (*Ring, error) {
+	time.Sleep(5 * time.Millisecond)
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	if c.f.dead[address] || c.f.dead[c.from] || c.f.random.Float64() < c.f.loss {
+		return nil, errors.New("lost")
+	}
+	return c.f.rings[address], nil
+}
+
+func (c caller) Beat(ctx context.Context, address string, b Beat) (Answer, error) {
+	r, err := c.reach(address)
+	if err != nil {
+		return Answer{}, err
+	}
+	return r.Heard(ctx, b)
+}
+
+func (c caller) Doubt(ctx context.Context, address string, d Doubt) (Silence, error) {
+	r, err := c.reach(address)
+	if err != nil {
+		return Silence{}, err
+	}
+	return r.Doubted(ctx, d)
+}
+
+func (f *field) setDead(name string, isDead bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dead[name] = isDead
+}
+
+func (f *field) start(ctx context.Context, name, zone string, seeds []string) {
+	r := New(Options{Self: Daemon{Name: name, Role: "agent", Zone: zone, Address: name}, Seeds: seeds, Calls: caller{f, name},
+		Step: 500 * time.Millisecond, Watchers: 3, Seed: register.Weight("seed", name), Log: zerolog.Nop()})
+	f.mu.Lock()
+	f.rings[name] = r
+	f.mu.Unlock()
+	go r.Run(ctx)
+}
+
+// seenDown counts those, of the living, that take the name for down.
+func (f *field) seenDown(name string) (n int) {
+	for other, r := range f.rings {
+		r.mu.Lock()
+		if e := r.known[name]; other != name && e != nil && e.IsDown {
+			n++
+		}
+		r.mu.Unlock()
+	}
+	return n
+}
+
+// As the fleet grows, messages for each daemon stay the same, all learn of all from three seeds, and of a death within seconds;
+// lost messages, a flapping daemon and a frozen watcher raise no false alarm that stays.
+func TestRingOfManyDaemons(t *testing.T) {
+	for _, size := range []int{12, 40, 100} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, stop := context.WithCancel(t.Context())
+				defer stop()
+				f := &field{random: rand.New(rand.NewPCG(uint64(size), 1)), loss: 0.05, rings: map[string]*Ring{}, dead: map[string]bool{}}
+				for i := range size {
+					f.start(ctx, fmt.Sprintf("d%d", i), fmt.Sprintf("z%d", i%4), []string{"d0", "d1", "d2"})
+				}
+				began := time.Now()
+				for {
+					all := 0
+					for _, r := range f.rings {
+						r.mu.Lock()
+						all += len(r.known) + 1
+						r.mu.Unlock()
+					}
+					if all == size*size {
+						break
+					}
+					is.True(time.Since(began) < 30*time.Second)
+					time.Sleep(300 * time.Millisecond)
+				}
+				learned := time.Since(began)
+				sum := func() (sent, alarms int) {
+					for _, r := range f.rings {
+						s, a := r.Figures()
+						sent, alarms = sent+s, alarms+a
+					}
+					return
+				}
+				sent0, alarms0 := sum()
+				time.Sleep(30 * time.Second)
+				sent1, alarms1 := sum()
+				perDaemon := float64(sent1-sent0) / float64(size) / 30
+				is.Equal(alarms1-alarms0, 0) // a twentieth of all messages is lost, and nobody is taken for down
+				is.True(perDaemon < 7.5)
+				f.setDead("d5", true)
+				began = time.Now()
+				for f.seenDown("d5") < size-1 {
+					is.True(time.Since(began) < 20*time.Second)
+					time.Sleep(200 * time.Millisecond)
+				}
+				detected := time.Since(began)
+				f.setDead("d5", false)
+				time.Sleep(8 * time.Second)
+				is.Equal(f.seenDown("d5"), 0) // it came back and has contradicted
+				for range 3 {                 // a flapping daemon: silent for a little longer than the patience, again and again
+					f.setDead("d6", true)
+					time.Sleep(2600 * time.Millisecond)
+					f.setDead("d6", false)
+					time.Sleep(5 * time.Second)
+				}
+				_, before := sum()
+				f.setDead("d6", true)
+				time.Sleep(2600 * time.Millisecond)
+				f.setDead("d6", false)
+				time.Sleep(5 * time.Second)
+				_, after := sum()
+				is.Equal(after-before, 0) // by now it is given more time
+				t.Logf("%d daemons: all known after %v, %.1f messages/s each, a death known to all after %v", size, learned, perDaemon, detected)
+				stop()
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
--- a/router/query.go
+++ b/router/query.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"asterridge/backlog"
 	"asterridge/fail"
 	"asterridge/link"
 )
@@ -58,6 +59,42 @@
 	return mux
 }
 
+// Counts gives this router's figures by name.
+func (r *Router) Counts() map[string]int64 { return r.counts.all() }
+
+// Waiting gives how many requests wait, by tenant.
+func (r *Router) Waiting() map[string]int {
+	waiting := map[string]int{}
+	for _, d := range r.depths() {
+		waiting[d.tenant] += d.Count
+	}
+	return waiting
+}
+
+// depth is a queue with its names.
+type depth struct {
+	backlog.Depth
+	tenant, pool string
+}
+
+func (r *Router) depths() (all []depth) {
+	v := r.view.Load()
+	if v == nil {
+		return nil
+	}
+	tenants, pools := map[int]string{}, map[int]string{}
+	for name, t := range v.tenants {
+		tenants[t.index] = name
+	}
+	for name, p := range v.pools {
+		pools[p.index] = name
+	}
+	for _, d := range r.backlog.Depths() {
+		all = append(all, depth{d, tenants[d.Tenant], pools[d.Pool]})
+	}
+	return all
+}
+
 // Rows answers a query on this router's own state.
 func (r *Router) Rows(_ context.Context, q Query) ([]Row, error) {
 	v := r.view.Load()
@@ -69,19 +106,8 @@
 				"new": e.New, "shot": e.Shot, "at": e.At.UTC().Format(time.RFC3339Nano), "reason": e.Reason, "replica": e.Replica})
 		}
 	case "backlog":
-		if v == nil {
-			return nil, nil
-		}
-		tenants, pools := map[int]string{}, map[int]string{}
-		for name, t := range v.tenants {
-			tenants[t.index] = name
-		}
-		for name, p := range v.pools {
-			pools[p.index] = name
-		}
-		for _, d := range r.backlog.Depths() {
-			rows = append(rows, Row{"proxy": r.options.Name, "tenant": tenants[d.Tenant], "pool": pools[d.Pool],
-				"waiting": d.Count, "oldest_ms": d.Oldest.Milliseconds()})
+		for _, d := range r.depths() {
+			rows = append(rows, Row{"proxy": r.options.Name, "tenant": d.tenant, "pool": d.pool, "waiting": d.Count, "oldest_ms": d.Oldest.Milliseconds()})
 		}
 	case "holds":
 		for _, n := range r.table.All() {
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -37,12 +37,14 @@
 	Wire     *link.Wire
 	Client   *http.Client
 
-	mu      sync.Mutex
-	kills   map[string]context.CancelFunc // by host
-	running sync.WaitGroup
-	Proxies []*daemon.Proxy
-	Ledgers standin.Ledgers
-	lost    string // a core whose disk was wiped and that is not readmitted yet
+	mu         sync.Mutex
+	kills      map[string]context.CancelFunc // by host
+	running    sync.WaitGroup
+	Proxies    []*daemon.Proxy
+	Ledgers    standin.Ledgers
+	AgentSeeds []string // of agents started from now on
+	AgentDisks map[int]*Disk
+	lost       string // a core whose disk was wiped and that is not readmitted yet
 }
 
 // The hosts' numbers.
@@ -61,7 +63,7 @@
 // NewFleet makes the network and the disks, and starts all daemons and stand-ins.
 func NewFleet(o FleetOptions) *Fleet {
 	f := &Fleet{Options: o, Net: NewNetwork(time.Millisecond), Replicas: map[string]*standin.Replica{}, kills: map[string]context.CancelFunc{},
-		Proxies: make([]*daemon.Proxy, o.Proxies)}
+		Proxies: make([]*daemon.Proxy, o.Proxies), AgentDisks: map[int]*Disk{}, AgentSeeds: []string{At(CoreIP(0)), At(CoreIP(1)), At(CoreIP(2))}}
 	outside := f.Net.Host(CallerIP)
 	f.Wire = link.NewWire(fleetName, outside)
 	f.Client = &http.Client{Transport: &http.Transport{DialContext: outside.DialContext, MaxIdleConnsPerHost: 256}}
@@ -136,10 +138,14 @@
 	ip := ProxyIP(i)
 	f.Kill(ip)
 	p := f.place(fmt.Sprintf("agent-%d", i+1), ip, fmt.Sprintf("zone-%d", i%4+1))
-	for j := range min(3, f.Options.Cores) {
-		p.Seeds = append(p.Seeds, At(CoreIP(j)))
+	p.Seeds = f.AgentSeeds
+	f.mu.Lock()
+	if f.AgentDisks[i] == nil {
+		f.AgentDisks[i] = NewDisk()
 	}
-	agent := daemon.NewAgent(p)
+	kept := f.AgentDisks[i].Open()
+	f.mu.Unlock()
+	agent := daemon.NewAgent(p, kept)
 	local, outer := must(p.Net.Listen(ip+":7001")), must(p.Net.Listen(p.Address))
 	q := p
 	q.Name, q.Log = fmt.Sprintf("proxy-%d", i+1), f.Options.Log.With().Str("daemon", fmt.Sprintf("proxy-%d", i+1)).Logger()
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -121,3 +121,25 @@
 		noBreach(is, f)
 	})
 }
+
+// Seeds are only where one begins: an agent whose seeds are another agent, or all dead, finds the cores by the ring and by what it kept.
+func TestAgentsFindTheCoresWithSwappedAndDeadSeeds(t *testing.T) {
+	t.Parallel()
+	inBubble(t, options(62), func(is *is.I, f *Fleet) {
+		serves := func(i int) func() bool {
+			return func() bool {
+				status, _, _ := f.Ask(i, "a", "", chat("light"))
+				return status == 200
+			}
+		}
+		f.AgentSeeds = []string{At(ProxyIP(1))} // another agent
+		f.StartPair(0)
+		f.Until(6*time.Second, "served by way of another agent", serves(0))
+		f.AgentSeeds = []string{At("10.0.8.1"), At("10.0.8.2"), At("10.0.8.3")} // nobody is there
+		f.StartPair(0)
+		f.Until(6*time.Second, "served by what was kept", serves(0))
+		f.AgentDisks[0].Wipe()
+		f.StartPair(0)
+		f.Until(10*time.Second, "served because the others still beat to it", serves(0))
+	})
+}
