--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -24,6 +24,7 @@
 // Settings are a program's flags, which a settings file may give too; a flag beats the file.
 type Settings struct {
 	set   *flag.FlagSet
+	usage func()
 	file  *string
 	level *string
 	Place Place
@@ -34,7 +35,7 @@
 // NewSettings has the flags that every daemon knows.
 func NewSettings(program, purpose string) *Settings {
 	s := &Settings{set: flag.NewFlagSet(program, flag.ContinueOnError)}
-	s.set.Usage = func() {
+	s.usage = func() {
 		fmt.Fprintf(s.set.Output(), "%s: %s\n\nFlags (a settings file is a JSON object with the same names):\n", program, purpose)
 		s.set.PrintDefaults()
 	}
@@ -104,10 +105,14 @@
 
 // Read takes the command line and the file. Errors name the field.
 func (s *Settings) Read(args []string) error {
-	if err := s.set.Parse(args); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			return err
-		}
+	s.set.SetOutput(io.Discard) // one line of our own, without the whole list of flags
+	err := s.set.Parse(args)
+	if errors.Is(err, flag.ErrHelp) {
+		s.set.SetOutput(os.Stdout)
+		s.usage()
+		return err
+	}
+	if err != nil {
 		return fail.Wrap(err, fail.Settings, "flags")
 	}
 	if s.set.NArg() > 0 {
@@ -157,7 +162,7 @@
 	met := map[string]bool{}
 	err = jx.DecodeBytes(text).Obj(func(d *jx.Decoder, name string) error {
 		if met[name] {
-			return bad(name, "stands twice in %s", *s.file)
+			return bad(name, "stands twice in %s", filepath.Base(*s.file))
 		}
 		met[name] = true
 		if s.set.Lookup(name) == nil || name == "settings" {
