--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -213,16 +213,8 @@
 // news takes running holds and the proxies' names; registers are looked at in digest.
 func (a *Agent) news(ctx context.Context, f *link.Follower, answer link.Answer) {
 	for _, e := range answer.Entries {
-		if e.Key != holdTable {
-			continue
-		}
-		for scope, raw := range e.Fields {
-			var n hold.Notice
-			if register.IsGone(raw) || json.Unmarshal(raw, &n) != nil {
-				continue
-			}
-			n.Scope, n.RemainingMs = scope, n.RemainingMs-e.AgesMs[scope]
-			a.table.Merge(n, longestHold)
+		if e.Key == holdTable {
+			a.table.Learn(e.Fields, e.AgesMs)
 		}
 	}
 	a.digest(ctx)
@@ -473,7 +465,7 @@
 
 // tellHold passes a throttle on to all cores at once, so that one that is gone delays nobody; the scope's owner also keeps it. One answer is enough.
 func (a *Agent) tellHold(ctx context.Context, n hold.Notice) (struct{}, error) {
-	a.table.Merge(n, longestHold)
+	a.table.Merge(n, hold.Longest)
 	cores := a.liveCores(holdPrefix + n.Scope)
 	if len(cores) == 0 {
 		return struct{}{}, fail.New(fail.Unreachable, "no core answers")
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -27,7 +27,6 @@
 	majorityWait = 1500 * time.Millisecond
 	beatTime     = 300 * time.Millisecond
 	proxyTime    = 3 * time.Second
-	longestHold  = 10 * time.Minute
 	pullWait     = 100 * time.Millisecond
 	selfFolder   = "self"
 	incarnFile   = "incarnation"
@@ -138,7 +137,7 @@
 func (c *Core) resumeHold(scope string) {
 	var n hold.Notice
 	if raw := c.keeper.Read(holdPrefix + scope).Fields["hold"]; raw != nil && json.Unmarshal(raw, &n) == nil {
-		c.table.Merge(n, longestHold)
+		c.table.Merge(n, hold.Longest)
 	}
 }
 
@@ -276,16 +275,8 @@
 // partnerNews takes running holds from another core.
 func (c *Core) partnerNews(_ *link.Follower, answer link.Answer) {
 	for _, e := range answer.Entries {
-		if e.Key != holdTable {
-			continue
-		}
-		for scope, raw := range e.Fields {
-			var n hold.Notice
-			if register.IsGone(raw) || json.Unmarshal(raw, &n) != nil {
-				continue
-			}
-			n.Scope, n.RemainingMs = scope, n.RemainingMs-e.AgesMs[scope]
-			c.table.Merge(n, longestHold)
+		if e.Key == holdTable {
+			c.table.Learn(e.Fields, e.AgesMs)
 		}
 	}
 }
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -217,7 +217,7 @@
 	if n.Scope == "" || n.Mark == "" {
 		return false, fail.New(fail.Missing, "a hold needs a scope and a mark")
 	}
-	return c.table.Merge(n, longestHold), nil
+	return c.table.Merge(n, hold.Longest), nil
 }
 
 // orderHold merges a proxy's throttle, tells all agents by doing so, and keeps it on a majority (§4.2).
--- a/fail/fail.go
+++ b/fail/fail.go
@@ -81,6 +81,7 @@
 	NotFounded   = code(311, "not_founded", 503, NotRun, "the fleet is not founded yet")
 	Torn         = code(312, "torn_file", 500, NotRun, "a file is torn or foreign")
 	OtherMembers = code(313, "other_members", 409, NotRun, "the two cores do not act on the same list of members")
+	OtherVersion = code(314, "other_version", 400, NotRun, "a message of another version of the daemons' talk")
 
 	Syntax   = code(400, "syntax", 400, NotRun, "the command cannot be read")
 	Settings = code(401, "bad_settings", 400, NotRun, "a setting or flag is wrong")
--- a/hold/table.go
+++ b/hold/table.go
@@ -2,8 +2,11 @@
 package hold
 
 import (
+	"encoding/json"
 	"sync"
 	"time"
+
+	"asterridge/register"
 )
 
 // Scope names what a hold covers: a tenant, or a tenant's use of one pool.
@@ -83,6 +86,21 @@
 	return true
 }
 
+// Learn merges the notices of a link's entry: by scope, each with its age at the source.
+func (t *Table) Learn(fields register.Fields, agesMs map[string]int64) {
+	for scope, raw := range fields {
+		var n Notice
+		if register.IsGone(raw) || json.Unmarshal(raw, &n) != nil {
+			continue
+		}
+		n.Scope, n.RemainingMs = scope, n.RemainingMs-agesMs[scope]
+		t.Merge(n, Longest)
+	}
+}
+
+// Longest bounds every hold that comes from elsewhere: the largest cap that a blueprint can set. Its maker has kept to its own.
+const Longest = 10 * time.Minute
+
 // Until gives the scope's moment; zero if it has passed or only observes.
 func (t *Table) Until(scope string) time.Time {
 	if until := t.Last(scope); time.Now().Before(until) {
--- a/link/wire.go
+++ b/link/wire.go
@@ -41,7 +41,11 @@
 
 const (
 	fleetHeader = "X-Asterridge-Fleet"
-	maxMessage  = 64 << 20
+	// Messages bear the version of the way daemons talk. Within a version fields are only added, and unknown ones are let pass, so that
+	// two builds run side by side; another version is refused.
+	versionHeader = "X-Asterridge-Version"
+	version       = "1"
+	maxMessage    = 64 << 20
 )
 
 // NewWire makes the caller's side over a network.
@@ -61,6 +65,9 @@
 		if said := r.Header.Get(fleetHeader); said != "" && said != fleet {
 			return nil, fail.New(fail.WrongFleet, "fleet %q is not ours", said)
 		}
+		if said := r.Header.Get(versionHeader); said != "" && said != version {
+			return nil, fail.New(fail.OtherVersion, "messages of version %q, ours are %s", said, version)
+		}
 		raw, err := io.ReadAll(io.LimitReader(r.Body, maxMessage+1))
 		if err != nil {
 			return nil, fail.Wrap(err, fail.Malformed, "read body")
@@ -113,6 +120,7 @@
 			return fail.Wrap(err, fail.Internal, "encode message")
 		}
 		r.Header.Set(fleetHeader, wire.Fleet)
+		r.Header.Set(versionHeader, version)
 		r.Header.Set("Content-Type", "application/json; charset=utf-8")
 		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(raw)), int64(len(raw))
 		return nil
--- /dev/null
+++ b/router/exchange_test.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"asterridge/link"
+)
+
+// Whatever order steps are tried in, only lawful ones are taken, retry_wait leads to eligible or an end alone, an end is the end, and the
+// audit has each step with its prior state.
+func TestStatesOnlyMoveForward(t *testing.T) {
+	is := is.New(t)
+	all := []State{Received, Eligible, Submitted, RetryWait, Done, Failed, Stale}
+	ends := map[State]bool{Done: true, Failed: true, Stale: true}
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		r := New(Options{Name: "p", Net: &link.TCP{}, Log: zerolog.Nop(), Audit: 64})
+		x := &Exchange{ID: "x"}
+		var taken []State
+		for range 40 {
+			to, from := all[random.IntN(len(all))], x.State
+			isTaken := func() (isTaken bool) {
+				defer func() { isTaken = recover() == nil }()
+				r.step(x, to, "")
+				return
+			}()
+			if !isTaken {
+				is.Equal(x.State, from) // a refused step changes nothing
+				continue
+			}
+			taken = append(taken, to)
+			is.True(!ends[from])
+			if from == RetryWait {
+				is.True(to == Eligible || to == Failed || to == Stale)
+			}
+			if to == Submitted {
+				is.Equal(from, Eligible)
+			}
+		}
+		events := r.audit.find(func(Event) bool { return true })
+		is.Equal(len(events), len(taken))
+		for i, e := range events {
+			is.Equal(e.New, taken[i])
+			if i > 0 {
+				is.Equal(e.Prior, taken[i-1])
+			}
+		}
+	}
+}
+
+func TestSecondShotsStayWithinATenthAndTheAllowance(t *testing.T) {
+	is := is.New(t)
+	b := budget{tokens: budgetAllowance}
+	spent := 0
+	for n := 1; n <= 1000; n++ {
+		b.first()
+		if b.spend() {
+			spent++
+		}
+		is.True(float64(spent) <= budgetAllowance+budgetPart*float64(n)+1e-6)
+	}
+	is.True(spent > 95)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -113,7 +113,10 @@
 		random:  &lockedRandom{r: mathrand.New(mathrand.NewPCG(options.Seed, h.Sum64()))},
 		reports: make(chan hold.Notice, 256), draining: make(chan struct{}),
 	}
-	r.table = hold.NewTable(func(e hold.Entry) { r.backlog.WakeAll() })
+	r.table = hold.NewTable(func(e hold.Entry) {
+		r.log.Info().Str("event", "hold").Str("scope", e.Scope).Str("mark", e.Mark).Int64("remaining_ms", e.RemainingMs).Str("reason", e.Reason).Msg("")
+		r.backlog.WakeAll()
+	})
 	r.backlog = backlog.New(backlog.Options[credit]{
 		Draw: r.draw, Return: r.giveBack, HeldUntil: r.table.Last, Turn: r.turn,
 	})
@@ -170,7 +173,7 @@
 	for _, e := range answer.Entries {
 		switch {
 		case e.Key == holdKey:
-			r.learnHolds(e)
+			r.table.Learn(e.Fields, e.AgesMs)
 		case e.Key == reportsKey:
 			isView = isView || r.view.Load() == nil
 		case strings.HasPrefix(e.Key, keptPrefix):
@@ -195,20 +198,6 @@
 	r.backlog.WakeAll()
 }
 
-func (r *Router) learnHolds(e link.Entry) {
-	limit := 10 * time.Minute // the largest cap a blueprint can set; the maker has kept to its own
-	for scope, raw := range e.Fields {
-		var n hold.Notice
-		if register.IsGone(raw) || json.Unmarshal(raw, &n) != nil {
-			continue
-		}
-		n.Scope, n.RemainingMs = scope, n.RemainingMs-e.AgesMs[scope]
-		if r.table.Merge(n, limit) {
-			r.log.Info().Str("event", "hold").Str("scope", scope).Str("mark", n.Mark).Int64("remaining_ms", n.RemainingMs).Msg("")
-		}
-	}
-}
-
 func (r *Router) learnReports(fields register.Fields) {
 	v := r.view.Load()
 	if v == nil {
--- a/sim/traffic_test.go
+++ b/sim/traffic_test.go
@@ -162,6 +162,7 @@
 		is.NoErr(err)
 		var out strings.Builder
 		for _, m := range []struct{ fleet, path, body string }{
+			{"sim of version 2", "/core/pull", `{}`},
 			{"other", "/core/pull", `{}`},
 			{"sim", "/core/pull", `{`},
 			{"sim", "/core/pull", `{"name":7}`},
@@ -183,7 +184,11 @@
 			{"sim", "/nowhere", `{}`},
 		} {
 			q := must(http.NewRequest(http.MethodPost, "http://"+At(CoreIP(0))+m.path, bytes.NewReader([]byte(m.body))))
-			q.Header.Set("X-Asterridge-Fleet", m.fleet)
+			fleet, version, isVersioned := strings.Cut(m.fleet, " of version ")
+			q.Header.Set("X-Asterridge-Fleet", fleet)
+			if isVersioned {
+				q.Header.Set("X-Asterridge-Version", version)
+			}
 			answer := must(f.Client.Do(q))
 			text := must(io.ReadAll(answer.Body))
 			_ = answer.Body.Close()
