--- a/standin/caller.go
+++ b/standin/caller.go
@@ -1,11 +1,9 @@
 package standin
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"asterridge/api"
 )
 
 // Asked is a line of the callers' ledger.
@@ -115,8 +115,7 @@
 
 type drawn struct {
 	Asked
-	kind Kind
-	body string
+	chat api.Chat
 }
 
 func draw(o LoadOptions, random *rand.Rand, i int) drawn {
@@ -139,7 +138,7 @@
 			break
 		}
 	}
-	d := drawn{kind: kind}
+	var d drawn
 	d.Tag = fmt.Sprintf("%s-%d", o.Prefix, i)
 	d.Tenant, d.Access, d.Kind = caller.Tenant, caller.Access, kind.Name
 	d.Proxy = o.Proxies[random.IntN(len(o.Proxies))]
@@ -150,38 +149,51 @@
 	if kind.Name != "web" {
 		// Three shared openings a kind: one opening serves many tenants.
 		opening := text(kind.Prefix, kind.Name+strconv.Itoa(random.IntN(3)))
-		body, _ := json.Marshal(map[string]any{"model": kind.Name, "stream": true, "max_tokens": kind.Pieces, "messages": []map[string]string{
-			{"role": "system", "content": opening}, {"role": "user", "content": text(kind.Own, d.Tag)}}})
-		d.body = string(body)
+		isStream := true
+		d.chat = api.Chat{Model: kind.Name, Stream: &isStream, MaxTokens: &kind.Pieces, Messages: []api.Message{
+			{Role: "system", Content: opening}, {Role: "user", Content: text(kind.Own, d.Tag)}}}
 	}
 	return d
 }
 
-// ask sends one request and reads all of its answer.
-func ask(ctx context.Context, o LoadOptions, d drawn) Asked {
-	ctx, stop := context.WithTimeout(ctx, o.Deadline)
-	defer stop()
-	a := d.Asked
-	a.At = time.Now()
-	method, address, body := http.MethodPost, "/v1/chat/completions", io.Reader(bytes.NewReader([]byte(d.body)))
+// send asks by the client that is made from the schema; the web back end's pages are not in it.
+func send(ctx context.Context, o LoadOptions, d drawn) (*http.Response, error) {
+	dress := func(_ context.Context, q *http.Request) error {
+		q.GetBody = nil // net/http must not send a keyed request a second time by itself
+		q.Header.Set("Authorization", "Bearer "+d.Access)
+		q.Header.Set("X-Caller-Tag", d.Tag)
+		return nil
+	}
 	if d.Kind == "web" {
-		method, address, body = http.MethodGet, "/web/page/"+strconv.Itoa(len(d.Tag)), nil
+		q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Proxy+"/web/page/"+strconv.Itoa(len(d.Tag)), nil)
+		if err != nil {
+			return nil, err
+		}
+		_ = dress(ctx, q)
+		return o.Client.Do(q)
 	}
-	q, err := http.NewRequestWithContext(ctx, method, "http://"+a.Proxy+address, body)
+	client, err := api.NewClient("http://"+d.Proxy, api.WithHTTPClient(o.Client), api.WithRequestEditorFn(dress))
 	if err != nil {
-		a.Failure = err.Error()
-		return a
+		return nil, err
 	}
-	q.GetBody = nil
-	q.Header.Set("Authorization", "Bearer "+a.Access)
-	q.Header.Set("X-Caller-Tag", a.Tag)
-	if a.IsRepeatable {
-		q.Header.Set("X-Repeatable", "yes")
+	p := &api.ChatCompletionsParams{}
+	if d.IsRepeatable {
+		yes := api.ChatCompletionsParamsXRepeatable("yes")
+		p.XRepeatable = &yes
 	}
-	if a.Key != "" {
-		q.Header.Set("Idempotency-Key", a.Key)
+	if d.Key != "" {
+		p.IdempotencyKey = &d.Key
 	}
-	answer, err := o.Client.Do(q)
+	return client.ChatCompletions(ctx, p, d.chat)
+}
+
+// ask sends one request and reads all of its answer.
+func ask(ctx context.Context, o LoadOptions, d drawn) Asked {
+	ctx, stop := context.WithTimeout(ctx, o.Deadline)
+	defer stop()
+	a := d.Asked
+	a.At = time.Now()
+	answer, err := send(ctx, o, d)
 	if err != nil {
 		a.Failure = err.Error()
 		a.AllMs = time.Since(a.At).Milliseconds()
