--- a/fail/fail_test.go
+++ b/fail/fail_test.go
@@ -3,6 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -16,9 +19,16 @@
 	var b strings.Builder
 	b.WriteString("# Result codes\n\nEvery error has a number that never changes its meaning. Callers find it in the header `X-Result-Code` and in the body\n" +
 		"(`error.number`), and in `X-Ran` what is known of their request: `no` is a promise, `unknown` is not.\nMade from `fail/fail.go` by `go test ./fail -approve`.\n\n" +
-		"| number | name | HTTP status | ran | meaning |\n|---|---|---|---|---|\n")
+		"The last column says whether some test brings the code about.\n\n" +
+		"| number | name | HTTP status | ran | meaning | tested |\n|---|---|---|---|---|---|\n")
+	tests := testTexts(t)
 	for _, c := range Codes() {
-		fmt.Fprintf(&b, "| %d | `%s` | %d | %s | %s |\n", c.Number, c.Name, c.Status, c.Ran, c.Text)
+		isTested := "no"
+		if regexp.MustCompile(fmt.Sprintf(`"number":%d\b|\b%d %s\b|"%d"|Code == %d\b|code %d\b|fail\.%s\b`,
+			c.Number, c.Number, c.Name, c.Number, c.Number, c.Number, ident(c.Name))).MatchString(tests) {
+			isTested = "yes"
+		}
+		fmt.Fprintf(&b, "| %d | `%s` | %d | %s | %s | %s |\n", c.Number, c.Name, c.Status, c.Ran, c.Text, isTested)
 	}
 	transcript.Approve(t, "../docs/codes.md", b.String())
 }
@@ -36,3 +46,29 @@
 	is.Equal(Of(errors.New("plain")).Code.Number, Internal.Number)
 	is.NoErr(Wrap(nil, Malformed, "nothing"))
 }
+
+// testTexts joins all approved transcripts and all tests but this one.
+func testTexts(t *testing.T) string {
+	var all strings.Builder
+	for _, pattern := range []string{"../*/testdata/*.txt", "../cmd/*/testdata/*.txt", "../*/*_test.go", "../cmd/*/*_test.go"} {
+		paths, err := filepath.Glob(pattern)
+		is.New(t).NoErr(err)
+		for _, path := range paths {
+			if filepath.Base(path) != "fail_test.go" && filepath.Base(path) != "check_test.go" {
+				raw, err := os.ReadFile(path)
+				is.New(t).NoErr(err)
+				all.Write(raw)
+			}
+		}
+	}
+	return all.String()
+}
+
+// ident guesses the Go name of a code's name; one that it misses counts as not tested.
+func ident(name string) string {
+	var b strings.Builder
+	for _, part := range strings.Split(name, "_") {
+		b.WriteString(strings.ToUpper(part[:1]) + part[1:])
+	}
+	return b.String()
+}
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -112,6 +112,7 @@
 	Rest   io.ReadCloser
 	IsEnd  func(tail []byte) bool // whether the stream's own end mark has come; nil if there is none
 	IsAll  bool                   // First is the whole answer
+	buffer *[pieceSize]byte       // First's, used again for the pieces after it
 	finish func(err error)
 }
 
--- a/router/filters.go
+++ b/router/filters.go
@@ -399,10 +399,11 @@
 	isStream := strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
 	if isStream {
 		x.Answer.IsEnd = r.options.Dialect.IsEnd
-		buffer := make([]byte, 32<<10)
-		n, readErr := answer.Body.Read(buffer)
+		buffer := pieces.Get().(*[pieceSize]byte)
+		x.Answer.buffer = buffer
+		n, readErr := answer.Body.Read(buffer[:])
 		for n == 0 && readErr == nil {
-			n, readErr = answer.Body.Read(buffer)
+			n, readErr = answer.Body.Read(buffer[:])
 		}
 		err = readErr
 		if n > 0 || errors.Is(err, io.EOF) {
--- a/router/relay.go
+++ b/router/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"asterridge/fail"
@@ -13,9 +14,13 @@
 
 const (
 	tailSize   = 64
+	pieceSize  = 32 << 10
 	pieceLimit = 60 * time.Second // between two pieces of a stream
 )
 
+// pieces are buffers that streams share in turn.
+var pieces = sync.Pool{New: func() any { return new([pieceSize]byte) }}
+
 // relay passes the answer on as it comes (§5.6). A stream that breaks off aborts the caller's connection.
 func (r *Router) relay(_ context.Context, w http.ResponseWriter, response any) error {
 	x := response.(*Exchange)
@@ -62,7 +67,11 @@
 		return err
 	}
 	tail := append([]byte(nil), a.First[max(0, len(a.First)-tailSize):]...)
-	buffer := make([]byte, 32<<10)
+	if a.buffer == nil {
+		a.buffer = pieces.Get().(*[pieceSize]byte)
+	}
+	buffer := a.buffer[:]
+	defer pieces.Put(a.buffer) // First, which lies in it, is written already
 	schedule := time.AfterFunc(pieceLimit, func() { _ = a.Rest.Close() })
 	defer schedule.Stop()
 	for {
--- /dev/null
+++ b/sim/points_test.go
@@ -0,0 +1,116 @@
+package sim
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// broken is a replica that breaks its answers at one point.
+type broken struct{ at string }
+
+func (b *broken) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if q.URL.Path == "/report" {
+		fmt.Fprintf(w, `{"run":"b","number":%d,"weights":"w1","warm":true,"rate":100}`, time.Now().UnixMilli())
+		return
+	}
+	_, _ = io.Copy(io.Discard, q.Body)
+	w.Header().Set("X-Request-Id", q.Header.Get("X-Request-Id"))
+	stream := func(pieces ...string) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, piece := range pieces {
+			_, _ = io.WriteString(w, "data: "+piece+"\n\n")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	switch b.at {
+	case "reset before the headers":
+	case "reset after the headers":
+		w.Header().Set("Content-Type", "text/event-stream")
+		_ = http.NewResponseController(w).Flush()
+	case "reset in mid-stream":
+		stream("{}", "{}")
+	case "reset before the end mark's end":
+		stream("{}", "{}", "[DON")
+	case "clean end without the end mark":
+		stream("{}", "{}")
+		return
+	case "another request's answer":
+		w.Header().Set("X-Request-Id", "somebody")
+		stream("{}", "[DONE]")
+		return
+	case "short of its content length":
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "{}")
+	case "silent past the deadline":
+		time.Sleep(5 * time.Second)
+		stream("{}", "[DONE]")
+		return
+	case "whole":
+		stream("{}", "[DONE]")
+		return
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// Whichever point a replica's answer breaks at, the caller never gets what looks like a finished answer, nor "not run".
+func TestAnswersBrokenAtEveryPoint(t *testing.T) {
+	t.Parallel()
+	inBubble(t, options(80), func(is *is.I, f *Fleet) {
+		b := &broken{}
+		defer f.replaceReplicas(b)()
+		for _, c := range []struct{ at, want string }{
+			{"whole", "200 whole"},
+			{"reset before the headers", "502 code 220"},
+			{"reset after the headers", "502 code 220"},
+			{"reset in mid-stream", "200 broken off"},
+			{"reset before the end mark's end", "200 broken off"},
+			{"clean end without the end mark", "200 broken off"},
+			{"another request's answer", "502 code 226"},
+			{"short of its content length", "502 code 220"},
+			{"silent past the deadline", "502 code 220"},
+			{"whole", "200 whole"},
+		} {
+			b.at = c.at
+			time.Sleep(3 * time.Second) // the replica is left alone for a while after a failure
+			exchange := f.exchange(0, "POST", chatAddress, bearer("a", "X-Deadline-Ms", "3000"), chat("light"))
+			got := "200 whole"
+			switch {
+			case strings.Contains(exchange, "broken off"):
+				got = "200 broken off"
+			case strings.Contains(exchange, "X-Result-Code: 220"):
+				got = "502 code 220"
+			case strings.Contains(exchange, "X-Result-Code: 226"):
+				got = "502 code 226"
+			case !strings.Contains(exchange, "[DONE]"):
+				got = exchange
+			}
+			is.Equal(c.at+": "+got, c.at+": "+c.want)
+			is.True(got == "200 whole" || !strings.Contains(exchange, "X-Ran: no"))
+		}
+	})
+}
+
+// BenchmarkRequest is one short chat through proxy and replica over the test network, in real time; allocations are of all of them.
+func BenchmarkRequest(b *testing.B) {
+	o := options(1)
+	o.Proxies, o.Replicas = 1, 1
+	o.Replica.PieceMs, o.Replica.WarmMs, o.Replica.Rate = 0, 0, 1e9
+	f := NewFleet(o)
+	f.Net.Delay = 0
+	defer f.Stop()
+	f.Declare()
+	b.ReportAllocs()
+	for b.Loop() {
+		if status, code, _ := f.Ask(0, "a", "", chat("light")); status != 200 {
+			b.Fatal(status, code)
+		}
+	}
+}
