A torn file costs the vote; a pool without replicas is bounced at once

Cause: a keeper that found its newest file torn went on with the version before, so it promised and vouched as if it had never said yes; a pool whose replicas were all leaving kept requests waiting until their deadline (code 213 was never given). Found by: going through the table of codes for those that no test brings about. Conclusion: a torn file is a lost vote until the key has caught up.

--- a/daemon/core.go
+++ b/daemon/core.go
@@ -47,6 +47,7 @@
 	data        *link.Source // for the agents
 	table       *hold.Table
 	ring        *ring.Ring
+	isDamaged   atomic.Bool // a torn file: this core's word counts for nobody until it has caught up (§2.5)
 	learning    sync.Mutex
 	carrying    sync.Mutex
 	members     atomic.Pointer[council] // nil until the fleet is founded
@@ -72,7 +73,7 @@
 	c.table = hold.NewTable(c.holdNews)
 	c.ring = newRing(place, "core", c.wire)
 	who := link.SourceOptions{Who: func() string {
-		if c.council().self == nil {
+		if c.council().self == nil || c.isDamaged.Load() {
 			return ""
 		}
 		return c.incarnation
@@ -88,6 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.isDamaged.Store(c.keeper.IsDamaged())
 	c.owner = register.NewOwner(register.OwnerOptions{
 		ID: func() uint8 { return c.council().self.ID }, Keeper: c.keeper, Council: c.registerCouncil, Wait: majorityWait,
 	})
@@ -262,6 +264,9 @@
 			fresh++
 		}
 	}
+	if c.isDamaged.Load() {
+		c.isDamaged.Store(c.keeper.IsDamaged())
+	}
 	c.hasImage.Store(failed == 0 && fresh > len(now.members)/2)
 	if now.self == nil {
 		return // a stranger follows, and has no other part
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -38,6 +38,14 @@
 	weight int      // bytes of deltas since the last whole; with the turn
 	mu     sync.Mutex
 	record Record
+	lost   Stamp // a version that was accepted here and whose file is torn; past once record.Stamp is not below it
+}
+
+// isDamaged says whether this disk has forgotten what it said yes to: until it has caught up it makes no promise for the key.
+func (e *entry) isDamaged() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.record.Stamp.Less(e.lost)
 }
 
 func newEntry() *entry { return &entry{turn: make(chan struct{}, 1)} }
@@ -145,6 +153,10 @@
 		}
 		if err != nil {
 			note(folder, name, err)
+			var stamp Stamp
+			if n, _ := fmt.Sscanf(name, "v.%016x.%016x", &stamp.Epoch, &stamp.Version); n == 2 && e.lost.Less(stamp) {
+				e.lost = stamp
+			}
 			continue
 		}
 		if change.IsWhole {
@@ -212,6 +224,9 @@
 		return Record{}, err
 	}
 	defer e.end()
+	if e.isDamaged() {
+		return Record{}, fail.New(fail.Torn, "what was accepted for %s is lost here until it is caught up", key)
+	}
 	now := e.read()
 	if epoch <= now.Promised {
 		return Record{}, superseded(epoch, now)
@@ -253,7 +268,7 @@
 		return nil // a late copy: what is here is the same, or came later under the same epoch
 	case !now.Stamp.Less(change.Next):
 		return superseded(change.Next.Epoch, now)
-	case !change.IsWhole && change.Base != now.Stamp:
+	case !change.IsWhole && (change.Base != now.Stamp || e.isDamaged()):
 		return fail.New(fail.Behind, "has %v, base %v", now.Stamp, change.Base)
 	}
 	return k.store(e, change)
@@ -331,6 +346,16 @@
 	}
 }
 
+// IsDamaged says whether some key's accepted version is lost to a torn file.
+func (k *Keeper) IsDamaged() bool {
+	for _, key := range k.Keys() {
+		if k.entry(key).isDamaged() {
+			return true
+		}
+	}
+	return false
+}
+
 // Stamp gives the accepted stamp of a key.
 func (k *Keeper) Stamp(key string) Stamp {
 	return k.entry(key).read().Stamp
--- a/router/filters.go
+++ b/router/filters.go
@@ -161,6 +161,9 @@
 		if err := r.heldTooLong(x); err != nil {
 			return err
 		}
+		if p := r.view.Load().pools[x.Path.Pool]; p == nil || !p.isStaffed() {
+			return again(fail.New(fail.NoReplica, "pool %s has no replica that stays", x.Path.Pool), time.Second)
+		}
 		err := onward(ctx, x)
 		if err == nil {
 			return nil
--- a/router/view.go
+++ b/router/view.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -208,6 +209,11 @@
 	return nil
 }
 
+// isStaffed says whether the platform has told of a replica that is not leaving.
+func (p *pool) isStaffed() bool {
+	return slices.ContainsFunc(p.replicas, func(rep *replica) bool { return rep.State != "leaving" })
+}
+
 // allows says whether a replica with these weights may start work for the pool now.
 func (p *pool) allows(weights string, now time.Time) bool {
 	if p.Kind == "web" || weights == p.Weights {
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -146,3 +146,34 @@
 		f.Until(10*time.Second, "served because the others still beat to it", serves(0))
 	})
 }
+
+// A core whose newest file is torn has said yes to what it no longer knows: it neither votes nor vouches until it has caught up.
+func TestTornFileCostsTheVoteUntilCaughtUp(t *testing.T) {
+	t.Parallel()
+	inBubble(t, options(63), func(is *is.I, f *Fleet) {
+		must(f.merge(`{"tenants":[{"name":"a","weight":31}]}`))
+		time.Sleep(time.Second)
+		f.Kill(CoreIP(0))
+		names := must(f.Disks[0].Open().List("kblueprint"))
+		newest := names[len(names)-1]
+		f.Disks[0].Spoil("kblueprint", newest, func(raw []byte) []byte { return raw[:len(raw)-1] })
+		cores := []string{CoreIP(1), CoreIP(2), CoreIP(3)}
+		f.Kill(CoreIP(3))
+		f.Net.Part([]string{CoreIP(0)}, cores, true) // it cannot catch up yet
+		f.StartCore(0)
+		f.Until(4*time.Second, "the word of the torn one makes no proxy current", func() bool {
+			_, code, _ := f.Ask(1, "b", "", chat("light"))
+			return code == "214"
+		})
+		f.Net.Part([]string{CoreIP(0)}, cores, false)
+		back := f.Until(12*time.Second, "it has caught up, votes and vouches", func() bool {
+			_, err := f.merge(`{"tenants":[{"name":"a","weight":32}]}`)
+			status, _, _ := f.Ask(1, "b", "", chat("light"))
+			return err == nil && status == 200
+		})
+		t.Logf("caught up after %v", back)
+		a, err := f.Query(0, "owners")
+		is.NoErr(err)
+		is.True(len(a.Rows) > 3)
+	})
+}
--- a/sim/points_test.go
+++ b/sim/points_test.go
@@ -1,14 +1,18 @@
 package sim
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"asterridge/daemon"
 )
 
 // broken is a replica that breaks its answers at one point.
@@ -114,3 +118,45 @@
 		}
 	}
 }
+
+// The bounces that need the fleet in some state.
+func TestBouncesOfFleetStates(t *testing.T) {
+	t.Parallel()
+	inBubble(t, options(81), func(is *is.I, f *Fleet) {
+		long := `{"model":"light","stream":true,"max_tokens":400,"messages":[{"role":"user","content":"a long one"}]}`
+		var first sync.WaitGroup
+		first.Go(func() {
+			status, _, _ := f.Ask(0, "a", "twice", long)
+			is.Equal(status, 200)
+		})
+		time.Sleep(300 * time.Millisecond)
+		_, code, _ := f.Ask(1, "a", "twice", chat("light"))
+		is.Equal(code, "222") // in progress, by whichever proxy
+		first.Wait()
+		time.Sleep(300 * time.Millisecond)
+		_, code, _ = f.Ask(2, "a", "twice", chat("light"))
+		is.Equal(code, "224")
+		for i := range 2 { // two of four cores gone: no claim, though the proxy is current for a moment yet
+			f.Kill(CoreIP(i))
+		}
+		_, code, _ = f.Ask(1, "a", "unclaimed", chat("light"))
+		is.Equal(code, "225")
+		for _, run := range f.Ledgers.Runs {
+			is.True(run.Tag != "unclaimed") // no majority, no send
+		}
+		for i := range 2 {
+			f.StartCore(i)
+		}
+		f.Until(10*time.Second, "all are ready", f.AreReady)
+		var news []string
+		for i := range f.Options.Replicas {
+			news = append(news, fmt.Sprintf(`{"name":%q,"state":"leaving"}`, ReplicaName(i)))
+		}
+		must(f.Order(2, "replicas", daemon.ReplicasOrder{Text: json.RawMessage(`{"replicas":[` + strings.Join(news, ",") + `]}`)}))
+		time.Sleep(time.Second)
+		began := time.Now()
+		_, code, _ = f.Ask(0, "a", "", chat("light"))
+		is.Equal(code, "213")
+		is.True(time.Since(began) < 100*time.Millisecond) // at once
+	})
+}
