A hold that outlasts a waiting request ends its wait at once

Cause: a request already in the backlog when its hold grew past its deadline waited until that deadline and was then bounced as stale; the users do not accept a final answer held back. On arrival this was right already.

--- a/backlog/backlog.go
+++ b/backlog/backlog.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -18,11 +19,13 @@
 	Limit        int // how many of the tenant may wait
 	Cost         int
 	Scope        string
-	Body         any // what Draw needs to know
+	Deadline     time.Time // a hold that outlasts it ends the wait at once; zero: none
+	Body         any       // what Draw needs to know
 
 	place   uint64
 	entered time.Time
 	granted chan struct{}
+	heldFor time.Duration // the wait was ended: its hold outlasts the deadline by being so long yet
 }
 
 // Options of a backlog whose credits are of type G.
@@ -112,6 +115,11 @@
 		b.pump(item.Pool)
 		return none, fail.Wrap(ctx.Err(), fail.Stale, "left in the moment of its turn")
 	}
+	if item.heldFor > 0 {
+		f := fail.New(fail.Held, "%s is held for longer than the request may wait", item.Scope)
+		f.Again, item.heldFor = item.heldFor, 0
+		return none, f
+	}
 	b.remove(item)
 	return none, fail.Wrap(ctx.Err(), fail.Stale, "waited in the backlog")
 }
@@ -216,6 +224,7 @@
 		f.heldUntil, f.released = until, 0
 	}
 	if now.Before(until) {
+		f.giveUp(until)
 		b.schedule(until)
 		return false
 	}
@@ -232,6 +241,18 @@
 	return false
 }
 
+// giveUp ends the wait of those that the hold outlasts: their answer is known, and they can be told when to come back.
+func (f *flow) giveUp(until time.Time) {
+	f.items = slices.DeleteFunc(f.items, func(item *Item) bool {
+		isOver := !item.Deadline.IsZero() && !item.Deadline.After(until)
+		if isOver {
+			item.heldFor = time.Until(until)
+			close(item.granted)
+		}
+		return isOver
+	})
+}
+
 // schedule wakes the backlog at the earliest moment asked for.
 func (b *Backlog[G]) schedule(at time.Time) {
 	now := time.Now()
--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -35,6 +35,8 @@
 		},
 		Return: func(int) { d.back() },
 		HeldUntil: func(scope string) time.Time {
+			d.mu.Lock()
+			defer d.mu.Unlock()
 			if scope == "held" {
 				return d.until
 			}
@@ -164,3 +166,37 @@
 		is.Equal(times[8], 5500*time.Millisecond)
 	})
 }
+
+// A hold that is extended over a waiting request's deadline ends its wait at once, with the time to come back; the others wait on.
+func TestAnOutlastingHoldEndsTheWaitAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		d := &desk{free: 10, until: time.Now().Add(2 * time.Second)}
+		b := d.backlog()
+		began := time.Now()
+		var all sync.WaitGroup
+		for _, wait := range []time.Duration{4 * time.Second, time.Minute} {
+			all.Go(func() {
+				it := item(1, 1, 1, "held")
+				it.Deadline = began.Add(wait)
+				ctx, stop := context.WithDeadline(t.Context(), it.Deadline)
+				defer stop()
+				_, err := b.Take(ctx, it)
+				if wait == time.Minute {
+					is.NoErr(err)
+					return
+				}
+				is.True(fail.Is(err, fail.Held))
+				is.Equal(time.Since(began), time.Second) // when the hold grew, not at the deadline
+				is.Equal(fail.Of(err).Again, 9*time.Second)
+			})
+		}
+		time.Sleep(time.Second)
+		d.mu.Lock()
+		d.until = began.Add(10 * time.Second)
+		d.mu.Unlock()
+		b.WakeAll()
+		all.Wait()
+		is.True(time.Since(began) >= 10*time.Second)
+	})
+}
--- a/router/filters.go
+++ b/router/filters.go
@@ -126,6 +126,7 @@
 	}
 	x.Deadline = x.Received.Add(wait)
 	x.item.Tenant, x.item.Pool, x.item.Cost = x.Tenant.index, x.Path.pool.index, x.Path.Cost
+	x.item.Deadline = x.Deadline
 	x.item.Weight, x.item.Limit, x.item.Body = x.Tenant.Weight, x.Tenant.Backlog, x
 	x.item.Scope = hold.Scope(x.Tenant.Name, x.Path.Pool, x.Tenant.Scope == "pool")
 	return onward(ctx, x)
@@ -223,6 +224,8 @@
 		switch {
 		case r.stopping.Load():
 			return again(fail.New(fail.Stopping, "stopped while waiting"), time.Second)
+		case fail.Is(err, fail.Held):
+			return err
 		case fail.Is(err, fail.BacklogFull):
 			return again(fail.Of(err), time.Second)
 		case ctx.Err() == context.Canceled:
