Claims are pruned by age on whichever core looks after them, under test

Cause: pruning went by what a core owned in this life, and kept a note of every claim that was ever seen; neither was tested. Measured (fake time): all claims gone from every disk within 30 s of their age, one owner killed meanwhile; none forgotten before. Conclusion: the age is a setting of the core now.

--- a/cmd/shell/main.go
+++ b/cmd/shell/main.go
@@ -101,10 +101,10 @@
 			fmt.Fprintf(os.Stderr, "  %s\n  %s^\n", text, strings.Repeat(" ", f.At-1))
 		}
 		return 2
-	case c.help:
+	case c.isHelp:
 		s.explain(s.out)
 		return 0
-	case c.quit:
+	case c.isQuit:
 		return 0
 	case c.query != nil:
 		a, err := ask[daemon.QueryAnswer](s, "/query", c.query)
--- a/cmd/shell/parse.go
+++ b/cmd/shell/parse.go
@@ -13,12 +13,12 @@
 
 // command is a parsed line: a query, or an order to one of the cores' endpoints.
 type command struct {
-	query *daemon.Query
-	order string // endpoint below /op/
-	body  any
-	file  string // of apply and merge: read into the order's text
-	help  bool
-	quit  bool
+	query  *daemon.Query
+	order  string // endpoint below /op/
+	body   any
+	file   string // of apply and merge: read into the order's text
+	isHelp bool
+	isQuit bool
 }
 
 // token is a word, a quoted string or a symbol, with its place in the line.
@@ -135,9 +135,9 @@
 	var c command
 	switch verb {
 	case "help":
-		c.help = true
+		c.isHelp = true
 	case "quit":
-		c.quit = true
+		c.isQuit = true
 	case "show":
 		c, err = r.show()
 	case "why":
@@ -169,9 +169,9 @@
 		return command{}, err
 	}
 	q := &daemon.Query{What: what}
-	for first := true; err == nil && !r.isEnd(); first = false {
+	for isFirst := true; err == nil && !r.isEnd(); isFirst = false {
 		var c daemon.Condition
-		if first {
+		if isFirst {
 			_, err = r.word("where")
 		} else {
 			_, err = r.word("and")
--- a/cmd/shell/shell_test.go
+++ b/cmd/shell/shell_test.go
@@ -27,7 +27,7 @@
 		case c.query != nil:
 			raw, _ := json.Marshal(c.query)
 			fmt.Fprintf(&out, "  query %s\n", raw)
-		case c.help || c.quit:
+		case c.isHelp || c.isQuit:
 			fmt.Fprintf(&out, "  help\n")
 		default:
 			raw, _ := json.Marshal(c.body)
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -38,6 +38,7 @@
 // Core keeps the control state on its disk.
 type Core struct {
 	place       Place
+	options     CoreOptions
 	disk        disk.Disk
 	incarnation string
 	wire        *link.Wire
@@ -54,21 +55,27 @@
 
 	hasImage atomic.Bool // at the last beat: a majority was heard, and all that it has settled is here
 
+	claims map[string]time.Time // when this process first saw a claim; of the pruning alone
+
 	mu        sync.Mutex
 	followers map[string]*link.Follower // by member name
 	met       map[string]string         // founding: address → incarnation
 	unsettled map[string]time.Time
-	strangers map[string]stranger  // by name: cores that would be members
-	listNews  chan struct{}        // closed when another list of members counts
-	claims    map[string]time.Time // when this process first saw a claim
+	strangers map[string]stranger // by name: cores that would be members
+	listNews  chan struct{}       // closed when another list of members counts
 	proxies   register.Fields
 }
 
+// CoreOptions of a core.
+type CoreOptions struct {
+	ClaimAge time.Duration // how long callers' keys are remembered, at the least
+}
+
 // NewCore opens the disk and loads what it has.
-func NewCore(place Place, d disk.Disk) (*Core, error) {
+func NewCore(place Place, d disk.Disk, options CoreOptions) (*Core, error) {
 	c := &Core{
-		place: place, disk: d, wire: link.NewWire(place.Fleet, place.Net),
-		followers: map[string]*link.Follower{}, met: map[string]string{}, unsettled: map[string]time.Time{}, strangers: map[string]stranger{}, listNews: make(chan struct{}), claims: map[string]time.Time{},
+		place: place, options: options, disk: d, wire: link.NewWire(place.Fleet, place.Net),
+		followers: map[string]*link.Follower{}, met: map[string]string{}, unsettled: map[string]time.Time{}, strangers: map[string]stranger{}, listNews: make(chan struct{}),
 	}
 	c.table = hold.NewTable(c.holdNews)
 	c.ring = newRing(place, "core", c.wire)
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -68,7 +68,7 @@
 		seat: term.New(term.Options{Duty: "rollout", Holder: c.place.Name + "." + c.incarnation + "." + c.whole.Run(), Length: termLength,
 			Margin: termLength / 8, Board: board{c}, Log: c.place.Log}),
 	}
-	go every(ctx, time.Minute, func() { c.pruneClaims(ctx) })
+	go every(ctx, c.options.ClaimAge/20, func() { c.pruneClaims(ctx) })
 	go every(ctx, termLength/5, func() {
 		if c.council().self != nil {
 			r.seat.Step(ctx)
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -101,8 +101,9 @@
 		}
 	}
 	if record.IsSettled() {
-		// Only spares a question after a restart: a failing disk is no reason to stop here.
-		_ = c.disk.Put(selfFolder, membersFile, []byte(strconv.FormatUint(now.version, 10)))
+		go func() { // only spares a question after a restart: neither a slow nor a failing disk holds anything up here
+			_ = c.disk.Put(selfFolder, membersFile, []byte(strconv.FormatUint(now.version, 10)))
+		}()
 	}
 	c.members.Store(&now)
 	c.mu.Lock()
@@ -345,7 +346,7 @@
 				continue
 			}
 			short, stop := context.WithTimeout(ctx, 2*majorityWait)
-			_, err := link.Call[SettleAnswer](short, c.wire, c.place.Address, "/op/settle", SettleOrder{Key: key, Carry: true})
+			_, err := link.Call[SettleAnswer](short, c.wire, c.place.Address, "/op/settle", SettleOrder{Key: key, IsCarry: true})
 			stop()
 			if err != nil {
 				c.place.Log.Warn().Str("event", "carry_failed").Str("key", key).Err(err).Msg("")
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"asterridge/blueprint"
@@ -133,14 +134,14 @@
 }
 
 const (
-	claimGroups = 64
-	claimAge    = time.Hour
+	claimGroups  = 64
+	claimsPrefix = "claims/"
 )
 
 func claimField(o ClaimOrder) string { return blueprint.HashKey(o.Tenant + "\x00" + o.Key) }
 
 func claimGroup(o ClaimOrder) string {
-	return fmt.Sprintf("claims/%02d", register.Weight(claimField(o), "")%claimGroups)
+	return fmt.Sprintf(claimsPrefix+"%02d", register.Weight(claimField(o), "")%claimGroups)
 }
 
 // orderClaim takes, settles or gives back a caller's key (§5.5).
@@ -183,28 +184,32 @@
 	return false
 }
 
-// pruneClaims drops claims that this process has known for longer than the age.
+// pruneClaims drops claims that this process has known for longer than the age. It looks after the groups that are drawn to it; a new owner counts
+// anew, so a claim is kept for longer then, never for less.
 func (c *Core) pruneClaims(ctx context.Context) {
-	for key := range c.owner.Owns() {
-		if len(key) < 7 || key[:7] != "claims/" {
+	known, live := map[string]time.Time{}, c.live()
+	for _, key := range c.keeper.Keys() {
+		if !strings.HasPrefix(key, claimsPrefix) || register.Draw(key, live) != c.place.Name {
 			continue
 		}
 		gone := register.Fields{}
-		fields := c.keeper.Read(key).Fields
-		c.mu.Lock()
-		for field := range fields {
-			if since, isKnown := c.claims[field]; !isKnown {
-				c.claims[field] = time.Now()
-			} else if time.Since(since) > claimAge {
+		for field := range c.keeper.Read(key).Fields {
+			since, isKnown := c.claims[field]
+			if !isKnown {
+				since = time.Now()
+			}
+			if time.Since(since) > c.options.ClaimAge {
 				gone[field] = nil
-				delete(c.claims, field)
+			} else {
+				known[field] = since
 			}
 		}
-		c.mu.Unlock()
 		if len(gone) > 0 {
-			_, _ = c.owner.Change(ctx, key, func(register.Fields, uint64) (register.Fields, error) { return gone, nil })
+			stamp, err := c.owner.Change(ctx, key, func(register.Fields, uint64) (register.Fields, error) { return gone, nil })
+			c.note("claims_pruned", key, stamp, err)
 		}
 	}
+	c.claims = known
 }
 
 // shareHold merges a throttle that another core keeps, and so tells the agents of it.
@@ -241,8 +246,8 @@
 
 // SettleOrder asks the owner to settle a key.
 type SettleOrder struct {
-	Key   string `json:"key"`
-	Carry bool   `json:"carry,omitempty"` // ask the council even if the key is settled
+	Key     string `json:"key"`
+	IsCarry bool   `json:"carry,omitempty"` // ask the council even if the key is settled
 }
 
 // SettleAnswer has the settled stamp.
@@ -251,7 +256,7 @@
 }
 
 func (c *Core) orderSettle(ctx context.Context, o SettleOrder) (SettleAnswer, error) {
-	stamp, err := c.owner.Settle(ctx, o.Key, o.Carry)
+	stamp, err := c.owner.Settle(ctx, o.Key, o.IsCarry)
 	return SettleAnswer{stamp}, err
 }
 
--- /dev/null
+++ b/link/source_test.go
@@ -0,0 +1,66 @@
+package link
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"asterridge/register"
+)
+
+func TestSourceGivesChangesAfterANumberAndImages(t *testing.T) {
+	is := is.New(t)
+	s := NewSource(SourceOptions{})
+	stamp := register.Stamp{Epoch: 1, Version: 1}
+	s.Put("k", stamp, stamp, register.Fields{"a": []byte(`1`), "b": []byte(`2`)}, true)
+	first, err := s.Pull(t.Context(), Ask{Name: "f"})
+	is.NoErr(err)
+	is.True(first.IsImage)
+	is.Equal(len(first.Entries[0].Fields), 2)
+	next := register.Stamp{Epoch: 1, Version: 2}
+	s.Put("k", next, next, register.Fields{"a": nil}, false)
+	second, err := s.Pull(t.Context(), Ask{Name: "f", Run: first.Run, From: first.Number})
+	is.NoErr(err)
+	is.True(!second.IsImage)
+	is.Equal(len(second.Entries), 1)
+	is.Equal(second.Entries[0].Stamp, next)
+	is.Equal(len(second.Entries[0].Fields), 1) // b did not change
+	is.True(register.IsGone(second.Entries[0].Fields["a"]))
+}
+
+// A slow follower costs the source nothing: what it missed is merged, and behind the last dropped tombstone it gets an image.
+func TestSlowFollowersGetMergedChangesOrAnImage(t *testing.T) {
+	is := is.New(t)
+	s := NewSource(SourceOptions{})
+	put := func(version uint64, fields register.Fields) {
+		stamp := register.Stamp{Epoch: 1, Version: version}
+		s.Put("k", stamp, stamp, fields, false)
+	}
+	put(1, register.Fields{"hot": []byte(`0`), "cold": []byte(`0`)})
+	first, err := s.Pull(t.Context(), Ask{Name: "f"})
+	is.NoErr(err)
+	for n := uint64(2); n < 5000; n++ {
+		put(n, register.Fields{"hot": fmt.Appendf(nil, "%d", n)})
+	}
+	merged, err := s.Pull(t.Context(), Ask{Name: "f", Run: first.Run, From: first.Number})
+	is.NoErr(err)
+	is.True(!merged.IsImage)
+	is.Equal(len(merged.Entries), 1)
+	is.Equal(string(merged.Entries[0].Fields["hot"]), "4999")
+	is.Equal(len(merged.Entries[0].Fields), 1)
+	is.True(s.order.Len() <= 3) // one place for the key and one for each field
+	for n := uint64(0); n < maxTombs+100; n++ {
+		put(5000+2*n, register.Fields{fmt.Sprint(n): []byte(`1`)})
+		put(5001+2*n, register.Fields{fmt.Sprint(n): nil})
+	}
+	late, err := s.Pull(t.Context(), Ask{Name: "f", Run: first.Run, From: merged.Number})
+	is.NoErr(err)
+	is.True(late.IsImage) // removals that it never heard of are dropped by now
+	is.True(s.order.Len() <= maxTombs+3)
+	other, err := s.Pull(t.Context(), Ask{Name: "f", Run: "another life", From: late.Number})
+	is.NoErr(err)
+	is.True(other.IsImage)
+	is.Equal(s.Standings(time.Minute)[0].Behind, other.Number)
+}
--- a/register/owner.go
+++ b/register/owner.go
@@ -50,9 +50,9 @@
 }
 
 type pending struct {
-	op     Op // nil to settle
-	carry  bool
-	result chan result
+	op      Op // nil to settle
+	isCarry bool
+	result  chan result
 }
 
 type result struct {
@@ -70,10 +70,10 @@
 	return o.do(ctx, key, &pending{op: op, result: make(chan result, 1)})
 }
 
-// Settle makes sure that what the key has is on a majority of the present council. With carry it asks the council even if that is
+// Settle makes sure that what the key has is on a majority of the present council. With isCarry it asks the council even if that is
 // known already.
-func (o *Owner) Settle(ctx context.Context, key string, carry bool) (Stamp, error) {
-	return o.do(ctx, key, &pending{carry: carry, result: make(chan result, 1)})
+func (o *Owner) Settle(ctx context.Context, key string, isCarry bool) (Stamp, error) {
+	return o.do(ctx, key, &pending{isCarry: isCarry, result: make(chan result, 1)})
 }
 
 func (o *Owner) do(ctx context.Context, key string, p *pending) (Stamp, error) {
@@ -144,7 +144,7 @@
 	for _, p := range batch {
 		if p.op == nil {
 			winners = append(winners, p)
-			isTouched = isTouched || p.carry && k.stamp.Version > 0
+			isTouched = isTouched || p.isCarry && k.stamp.Version > 0
 			continue
 		}
 		delta, err := p.op(working, k.stamp.Version)
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -25,6 +25,7 @@
 	Blueprint                string
 	Tenants                  []string // each gets the access key NAME-key
 	Log                      zerolog.Logger
+	ClaimAge                 time.Duration
 	Replica                  standin.ReplicaOptions // what all replicas share
 }
 
@@ -128,7 +129,7 @@
 	if i == len(f.Disks) { // a machine that was not there before
 		f.Disks = append(f.Disks, NewDisk())
 	}
-	core := must(daemon.NewCore(p, f.Disks[i].Open()))
+	core := must(daemon.NewCore(p, f.Disks[i].Open(), daemon.CoreOptions{ClaimAge: f.Options.ClaimAge}))
 	listener := must(p.Net.Listen(p.Address))
 	f.launch(CoreIP(i), func(ctx context.Context) { _ = core.Serve(ctx, listener) })
 }
--- a/sim/points_test.go
+++ b/sim/points_test.go
@@ -160,3 +160,44 @@
 		is.True(time.Since(began) < 100*time.Millisecond) // at once
 	})
 }
+
+// A caller's key is remembered for its time at the least, also by a new owner, and then forgotten on every disk.
+func TestClaimsAreForgottenByAgeAndNotBefore(t *testing.T) {
+	t.Parallel()
+	o := options(82)
+	o.ClaimAge = 10 * time.Second
+	inBubble(t, o, func(is *is.I, f *Fleet) {
+		ask := func(proxy int, key string) string {
+			_, code, _ := f.Ask(proxy, "a", key, chat("light"))
+			return code
+		}
+		var keys []string
+		for i := range 12 {
+			keys = append(keys, fmt.Sprint("key-", i))
+			is.Equal(ask(0, keys[i]), "")
+		}
+		time.Sleep(8 * time.Second)
+		for _, key := range keys {
+			is.Equal(ask(1, key), "224")
+		}
+		f.Kill(CoreIP(0)) // its groups get a new owner, which counts anew
+		time.Sleep(4 * time.Second)
+		f.StartCore(0)
+		f.Until(30*time.Second, "no claim is left on any disk", func() bool { return f.claims(1)+f.claims(2)+f.claims(3) == 0 })
+		is.Equal(ask(1, keys[0]), "")
+	})
+}
+
+// claims counts the claims that a core keeps.
+func (f *Fleet) claims(core int) (n int) {
+	a, err := f.Query(core, "owners")
+	if err != nil {
+		return -1
+	}
+	for _, row := range a.Rows {
+		if strings.HasPrefix(row["key"].(string), "claims/") {
+			n += int(row["fields"].(float64))
+		}
+	}
+	return n
+}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -71,21 +71,21 @@
 
 // Replica is a stand-in model replica or web back end.
 type Replica struct {
-	options  ReplicaOptions
-	run      string
-	mu       sync.Mutex
-	weights  string
-	warmAt   time.Time
-	loading  bool
-	running  int
-	number   uint64
-	order    uint64 // the highest load order met
-	cache    map[string]*block
-	line     []*block // of the cache, oldest first
-	changes  []change
-	dropped  uint64 // changes up to this number are forgotten
-	conducts map[string]Behaviour
-	fetch    map[string]float64 // by source's name
+	options   ReplicaOptions
+	run       string
+	mu        sync.Mutex
+	weights   string
+	warmAt    time.Time
+	isLoading bool
+	running   int
+	number    uint64
+	order     uint64 // the highest load order met
+	cache     map[string]*block
+	line      []*block // of the cache, oldest first
+	changes   []change
+	dropped   uint64 // changes up to this number are forgotten
+	conducts  map[string]Behaviour
+	fetch     map[string]float64 // by source's name
 }
 
 type block struct {
@@ -158,14 +158,14 @@
 		return
 	}
 	r.order = order.Order
-	if r.loading || r.weights == order.Weights {
+	if r.isLoading || r.weights == order.Weights {
 		return
 	}
-	r.loading = true
+	r.isLoading = true
 	time.AfterFunc(time.Duration(r.options.LoadMs)*time.Millisecond, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.loading, r.weights = false, order.Weights
+		r.isLoading, r.weights = false, order.Weights
 		r.warmAt = time.Now().Add(time.Duration(r.options.WarmMs) * time.Millisecond)
 		r.run, r.cache, r.line, r.changes = rand.Text()[:8], map[string]*block{}, nil, nil
 	})
@@ -182,7 +182,7 @@
 		Kept    []string `json:"kept,omitempty"`
 		Dropped []string `json:"dropped,omitempty"`
 	}{Report: router.Report{Run: r.run, Number: r.number, Weights: r.weights, Running: r.running, IsWarm: r.isWarm(), Rate: r.options.Rate, Fetch: maps.Clone(r.fetch)}}
-	if r.loading {
+	if r.isLoading {
 		body.Weights = router.Loading
 	}
 	body.IsImage = q.FormValue("run") != r.run || from < r.dropped
@@ -246,7 +246,7 @@
 	run.Weights = r.weights
 	all, own := r.conducts[""], r.conducts[run.Tenant]
 	switch {
-	case r.options.Kind == "model" && (r.loading || q.Header.Get("X-Expect-Weights") != r.weights):
+	case r.options.Kind == "model" && (r.isLoading || q.Header.Get("X-Expect-Weights") != r.weights):
 		r.mu.Unlock()
 		r.bounce(w, run, http.StatusPreconditionFailed, "weights_mismatch")
 		return
