A caller that stops reading frees its credit; a pool replaced one by one under load

Cause: a write to a caller that reads no more had no bound; its replica's slot and our credit stayed taken.

--- a/router/filters.go
+++ b/router/filters.go
@@ -38,10 +38,7 @@
 	sendFilter     struct{ r *Router }
 )
 
-const (
-	maxHeader = 64 << 10
-	maxAnyway = 16 << 20
-)
+const maxAnyway = 16 << 20
 
 // decode makes an exchange of a caller's request; the body is read later, when its bound is known.
 func (r *Router) decode(_ context.Context, q *http.Request) (any, error) {
--- a/router/relay.go
+++ b/router/relay.go
@@ -55,14 +55,15 @@
 }
 
 func (r *Router) pour(w http.ResponseWriter, x *Exchange) error {
-	a := x.Answer
+	a, flush := x.Answer, http.NewResponseController(w)
+	// A caller that stops reading is not waited for without end; a writer that knows no deadlines has its own bounds.
+	_ = flush.SetWriteDeadline(time.Now().Add(pieceLimit))
 	if _, err := w.Write(a.First); err != nil {
 		return err
 	}
 	if a.IsAll {
 		return nil
 	}
-	flush := http.NewResponseController(w)
 	if err := flush.Flush(); err != nil {
 		return err
 	}
@@ -78,6 +79,7 @@
 		n, err := a.Rest.Read(buffer)
 		if n > 0 {
 			schedule.Reset(pieceLimit)
+			_ = flush.SetWriteDeadline(time.Now().Add(pieceLimit))
 			tail = append(tail, buffer[:n]...)
 			tail = append(tail[:0], tail[max(0, len(tail)-tailSize):]...)
 			if _, err := w.Write(buffer[:n]); err != nil {
--- a/sim/faults_test.go
+++ b/sim/faults_test.go
@@ -341,3 +341,39 @@
 		is.Equal(len(there), len(won)+3)
 	})
 }
+
+// A whole pool is replaced, one replica after another: a new one comes and warms up, an old one leaves and then vanishes.
+func TestPoolReplacedOneByOneUnderLoad(t *testing.T) {
+	t.Parallel()
+	inBubble(t, options(35), func(is *is.I, f *Fleet) {
+		tell := func(i int, state string) {
+			must(f.Order(i%4, "replicas", daemon.ReplicasOrder{Text: fmt.Appendf(nil,
+				`{"replicas":[{"name":%q,"address":%q,"pool":"pool","zone":"zone-1","limit":12,"state":%q}]}`, ReplicaName(i), At(ReplicaIP(i)), state)}))
+			if state == "leaving" {
+				f.Fact("leaving", ReplicaName(i), "")
+			}
+		}
+		all := f.during(1100, 30, 35, func() {
+			time.Sleep(2 * time.Second)
+			for i := range 4 {
+				f.StartReplica(4 + i)
+				tell(4+i, "warming")
+				time.Sleep(2 * time.Second)
+				tell(4+i, "present")
+				tell(i, "leaving")
+				time.Sleep(4 * time.Second)
+				f.Kill(ReplicaIP(i))
+				tell(i, "gone")
+			}
+		})
+		onNew := 0
+		for _, r := range f.Ledgers.Runs {
+			if r.HasRun && r.Replica >= "pool-5" {
+				onNew++
+			}
+		}
+		is.True(onNew > 300)
+		is.True(whole(all) > len(all)*87/100) // a tenth are calls of a web back end that this plan lacks
+		noBreach(is, f)
+	})
+}
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -166,7 +166,7 @@
 // ReplicaName names replica i of pool "pool".
 func ReplicaName(i int) string { return fmt.Sprintf("pool-%d", i+1) }
 
-// StartReplica starts a stand-in replica.
+// StartReplica starts a stand-in replica, with the weights that it has when it comes.
 func (f *Fleet) StartReplica(i int) {
 	o := f.Options.Replica
 	o.Name = ReplicaName(i)
--- a/sim/points_test.go
+++ b/sim/points_test.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -201,3 +202,37 @@
 	}
 	return n
 }
+
+// A caller that stops reading, and one that leaves, free the replica's slot and the credit.
+func TestCallersThatStopReadingOrLeaveFreeTheirCredit(t *testing.T) {
+	t.Parallel()
+	inBubble(t, options(83), func(is *is.I, f *Fleet) {
+		endless := `{"model":"light","stream":true,"max_tokens":60000,"messages":[{"role":"user","content":"a long one"}]}`
+		running := func() (n int64) {
+			a, err := f.Query(0, "replicas")
+			is.NoErr(err)
+			for _, row := range a.Rows {
+				if row["proxy"] == "proxy-1" {
+					n += int64(row["own_running"].(float64))
+				}
+			}
+			return n
+		}
+		for range 2 {
+			q := must(http.NewRequest(http.MethodPost, "http://"+ProxyAddress(0)+chatAddress, strings.NewReader(endless)))
+			q.Header.Set("Authorization", "Bearer a-key")
+			answer := must(f.Client.Do(q)) // and never read on
+			defer answer.Body.Close()
+		}
+		gone, leave := context.WithCancel(context.Background())
+		q := must(http.NewRequestWithContext(gone, http.MethodPost, "http://"+ProxyAddress(0)+chatAddress, strings.NewReader(endless)))
+		q.Header.Set("Authorization", "Bearer a-key")
+		answer := must(f.Client.Do(q))
+		time.Sleep(time.Second)
+		is.Equal(running(), int64(3))
+		leave()
+		_ = answer.Body.Close()
+		f.Until(time.Second, "the one that left is over", func() bool { return running() == 2 })
+		f.Until(3*time.Minute, "those that do not read are over", func() bool { time.Sleep(time.Second); return running() == 0 })
+	})
+}
