--- a/cmd/fleet/fleet.go
+++ b/cmd/fleet/fleet.go
@@ -195,8 +195,21 @@
 		told = append(told, blueprint.Replica{Name: name, Address: at, Pool: strings.SplitN(name, "-", 2)[0], Zone: "zone-1", State: "present", Limit: 8})
 	}
 	raw, _ := json.Marshal(map[string]any{"replicas": told})
-	_, err = f.order(ctx, "replicas", daemon.ReplicasOrder{Text: raw})
-	return err
+	if err := os.WriteFile(f.path("replicas.json"), raw, 0o644); err != nil {
+		return err
+	}
+	err = f.run("platform", "standin", "platform", "-name", "platform", "-fleet", fleetName, "-cores", strings.Join(f.cores, ","), "-file", f.path("replicas.json"))
+	if err != nil {
+		return err
+	}
+	return eventually(ctx, 10*time.Second, "the platform has told of the replicas", func() bool {
+		for _, row := range f.query("owners") {
+			if row["key"] == blueprint.ReplicasKey {
+				return row["settled"] == true
+			}
+		}
+		return false
+	})
 }
 
 func (f *fleet) path(name string) string { return filepath.Join(f.options.data, name) }
--- a/cmd/shell/main.go
+++ b/cmd/shell/main.go
@@ -68,8 +68,12 @@
 	if set.NArg() > 0 {
 		os.Exit(s.line(strings.Join(set.Args(), " ")))
 	}
+	prompt := func() {}
+	if at, err := os.Stdin.Stat(); err == nil && at.Mode()&os.ModeCharDevice != 0 {
+		prompt = func() { fmt.Print("asterridge> ") } // somebody types
+	}
 	lines, worst := bufio.NewScanner(os.Stdin), 0
-	for lines.Scan() {
+	for prompt(); lines.Scan(); prompt() {
 		if strings.TrimSpace(lines.Text()) == "quit" {
 			break
 		}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -14,7 +14,10 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"asterridge/daemon"
+	"asterridge/link"
 	"asterridge/standin"
 )
 
@@ -22,6 +25,7 @@
 
   standin replica FLAGS   a model replica or web back end
   standin callers FLAGS   callers of the three kinds and of the web back end
+  standin platform FLAGS  tells the cores which replicas there are, from a file, whenever the file changes
 
 Each role lists its flags with -h.
 `
@@ -38,6 +42,8 @@
 		replica()
 	case "callers":
 		callers()
+	case "platform":
+		platform()
 	default:
 		fmt.Fprintf(os.Stderr, "no role %q\n%s", role, help)
 		os.Exit(2)
@@ -143,3 +149,47 @@
 		return nil
 	})
 }
+
+// platform posts the file's text (as in docs/operators.md) to the first core that takes it, at once and after each change of the file.
+func platform() {
+	s := daemon.NewSettings("standin platform", "tells the cores which replicas there are")
+	cores := s.Text("cores", "", "`ip:port`s of cores, with commas")
+	file := s.Text("file", "", "`file` with {\"replicas\":[…]}")
+	s.Needed("cores", "file")
+	daemon.Main(s, func(ctx context.Context) error {
+		wire := link.NewWire(s.Place.Fleet, s.Place.Net)
+		told := ""
+		beat := time.NewTicker(500 * time.Millisecond)
+		defer beat.Stop()
+		for {
+			text, err := os.ReadFile(*file)
+			if err != nil {
+				return err
+			}
+			if !json.Valid(text) {
+				s.Place.Log.Warn().Str("event", "not_json").Str("file", *file).Msg("")
+			} else if string(text) != told && tell(ctx, wire, strings.Split(*cores, ","), text, s.Place.Log) {
+				told = string(text)
+			}
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-beat.C:
+			}
+		}
+	})
+}
+
+func tell(ctx context.Context, wire *link.Wire, cores []string, text []byte, log zerolog.Logger) bool {
+	for _, core := range cores {
+		short, stop := context.WithTimeout(ctx, 5*time.Second)
+		a, err := link.Call[daemon.Accepted](short, wire, core, "/op/replicas", daemon.ReplicasOrder{Text: text})
+		stop()
+		if err == nil {
+			log.Info().Str("event", "told").Str("core", core).Uint64("version", a.Version).Msg("")
+			return true
+		}
+		log.Warn().Str("event", "not_told").Str("core", core).Err(err).Msg("")
+	}
+	return false
+}
