--- a/cmd/fleet/fleet.go
+++ b/cmd/fleet/fleet.go
@@ -222,7 +222,11 @@
 	}
 	defer log.Close()
 	p := &process{name: name, program: program, args: args, ended: make(chan struct{})}
-	p.cmd = exec.Command(filepath.Join(f.options.bin, program), args...)
+	folder := f.options.bin
+	if n := name[len(name)-1]; f.options.other != "" && program != "standin" && (n-'0')%2 == 0 {
+		folder = f.options.other
+	}
+	p.cmd = exec.Command(filepath.Join(folder, program), args...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -24,6 +24,7 @@
 	}
 	o := options{}
 	set.StringVar(&o.bin, "bin", filepath.Dir(os.Args[0]), "`folder` of the programs")
+	set.StringVar(&o.other, "other", "", "`folder` of another build, from which every second core, agent and proxy comes")
 	set.StringVar(&o.data, "data", "", "`folder` for disks, logs and ledgers; a new one below the temporary folder by default")
 	set.StringVar(&o.deployment, "deployment", "trails", "trails or archive")
 	set.StringVar(&o.examples, "examples", "examples", "`folder` of the example blueprints")
@@ -64,11 +65,11 @@
 }
 
 type options struct {
-	bin, data, deployment, examples string
-	proxies, replicas, count, rate  int
-	seed                            uint64
-	isObserve                       bool
-	index                           int
+	bin, other, data, deployment, examples string
+	proxies, replicas, count, rate         int
+	seed                                   uint64
+	isObserve                              bool
+	index                                  int
 }
 
 func (o *options) check() error {
