Two data races: stopping a router, and the ring's doubts

Cause: a stopping router waited on a WaitGroup that new requests still added to, and a doubt read the names and addresses of the ring's entries outside the lock. Found by: the whole suite under -race, in one of three runs. Measured: neither shows in the tests that stop routers and lose daemons, run again under -race. Conclusion: a counter of its own, and copies.

--- a/ring/ring.go
+++ b/ring/ring.go
@@ -327,7 +327,10 @@
 func (r *Ring) doubt(ctx context.Context, d Daemon) {
 	r.mu.Lock()
 	e := r.known[d.Name]
-	others := r.watchers(d.Name, d.Zone)
+	var others []Daemon // copies: the entries move on while the others are asked
+	for _, w := range r.watchers(d.Name, d.Zone) {
+		others = append(others, w.Daemon)
+	}
 	patience := r.patience(e, time.Now())
 	r.sent += len(others) - 1
 	r.mu.Unlock()
--- a/router/router.go
+++ b/router/router.go
@@ -76,7 +76,7 @@
 	marks    atomic.Uint64
 	reports  chan hold.Notice
 	stopping atomic.Bool
-	open     sync.WaitGroup
+	open     running
 	draining chan struct{}
 }
 
@@ -341,8 +341,8 @@
 	}
 	kit := kithttp.NewServer(serve, r.decode, r.relay, kithttp.ServerErrorEncoder(encodeBounce))
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		r.open.Add(1)
-		defer r.open.Done()
+		r.open.add(1)
+		defer r.open.add(-1)
 		kit.ServeHTTP(w, q)
 	})
 }
@@ -353,14 +353,41 @@
 		return
 	}
 	close(r.draining)
-	ended := make(chan struct{})
-	go func() { r.open.Wait(); close(ended) }()
 	select {
-	case <-ended:
+	case <-r.open.idle():
 	case <-ctx.Done():
 	}
 }
 
+// running counts the requests inside; a request may still come while the end is waited for.
+type running struct {
+	mu    sync.Mutex
+	count int
+	ended chan struct{} // closed at zero, if somebody waits
+}
+
+func (o *running) add(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.count += n; o.count == 0 && o.ended != nil {
+		close(o.ended)
+		o.ended = nil
+	}
+}
+
+// idle gives a channel that is closed when nothing is inside.
+func (o *running) idle() <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ended := make(chan struct{})
+	if o.count == 0 {
+		close(ended)
+	} else {
+		o.ended = ended
+	}
+	return ended
+}
+
 // encodeBounce also says whether the request ran.
 func encodeBounce(ctx context.Context, err error, w http.ResponseWriter) {
 	f := fail.Of(err)
