One name for the agent's keys, one readiness handler, one digest an answer

Cause: reading the whole change again: router and daemon each named the agent's own keys, three daemons wrote the same readiness handler, core and agent the same merge of holds and the same outside client, and an agent digested each answer with news twice. Conclusion: fewer copies, the same behaviour.

--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -26,8 +26,6 @@
 	undecidedTerm = 500 * time.Millisecond  // U
 	reportStep    = 300 * time.Millisecond
 	reportLimit   = time.Second
-	reportsTable  = "reports"
-	keptTables    = "kept/"
 )
 
 // Agent keeps the links to the cores and feeds the proxy beside it.
@@ -65,7 +63,7 @@
 	a := &Agent{
 		disk:  d,
 		place: place, dialect: router.ChatDialect{}, wire: link.NewWire(place.Fleet, place.Net),
-		plain: &http.Client{Transport: &http.Transport{DialContext: place.Net.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}},
+		plain: newPlain(place.Net),
 		links: map[string]*link.Follower{}, applied: map[string]register.Stamp{}, undecided: map[string]doubt{},
 		why: "no core found yet", proxies: register.Fields{}, replicas: map[string]context.CancelFunc{}, watched: map[string]blueprint.Replica{},
 	}
@@ -73,7 +71,7 @@
 	a.source = link.NewSource(link.SourceOptions{Remaining: a.remaining})
 	a.table = hold.NewTable(func(e hold.Entry) {
 		raw, _ := json.Marshal(e.Notice) // a plain struct always encodes
-		a.source.Put(holdTable, register.Stamp{}, register.Stamp{}, register.Fields{e.Scope: raw}, false)
+		a.source.Put(router.HoldKey, register.Stamp{}, register.Stamp{}, register.Fields{e.Scope: raw}, false)
 	})
 	return a
 }
@@ -91,11 +89,7 @@
 	serveMetrics(outer, a.figures)
 	outer.Handle("POST /agent/query", link.Serve(fleet, a.query))
 	outer.Handle("POST /core/hello", link.Serve(fleet, a.hello))
-	outer.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if a.remaining() <= 0 {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
+	link.ServeReady(outer, func() bool { return a.remaining() > 0 })
 	go every(ctx, helloTime, func() { a.discover(ctx) })
 	go a.ring.Run(ctx)
 	go every(ctx, time.Minute, func() { a.table.Prune(time.Hour) })
@@ -181,7 +175,7 @@
 		if a.links[m.Address] == nil {
 			f := link.NewFollower(link.FollowerOptions{
 				Wire: a.wire, Address: m.Address, Path: "/core/pull", Wait: pullWait, Ask: a.ask,
-				News:  func(f *link.Follower, answer link.Answer) { a.news(ctx, f, answer) },
+				News:  takeHolds(a.table), // the rest is looked at in digest, which follows each answer
 				Fresh: func(*link.Follower, time.Time, time.Duration) { a.digest(ctx) },
 			})
 			a.links[m.Address] = f
@@ -210,14 +204,15 @@
 	return ask
 }
 
-// news takes running holds and the proxies' names; registers are looked at in digest.
-func (a *Agent) news(ctx context.Context, f *link.Follower, answer link.Answer) {
-	for _, e := range answer.Entries {
-		if e.Key == holdTable {
-			a.table.Learn(e.Fields, e.AgesMs)
+// takeHolds merges the running holds of a link's answer; cores take them from each other by it, too.
+func takeHolds(table *hold.Table) func(*link.Follower, link.Answer) {
+	return func(_ *link.Follower, answer link.Answer) {
+		for _, e := range answer.Entries {
+			if e.Key == router.HoldKey {
+				table.Learn(e.Fields, e.AgesMs)
+			}
 		}
 	}
-	a.digest(ctx)
 }
 
 // digest applies what is known to be accepted, and works out until when this agent is current (§3.2).
@@ -228,14 +223,14 @@
 	partners := register.Fields{}
 	for _, f := range a.links {
 		if time.Since(f.FreshAt()) < freshTerm {
-			for name, raw := range f.Read(proxiesTable).Fields {
+			for name, raw := range f.Read(router.ProxiesKey).Fields {
 				partners[name] = raw
 			}
 		}
 	}
 	if change := blueprint.Delta(a.proxies, partners); len(change) > 0 && len(partners) > 0 {
 		a.proxies = partners
-		a.source.Put(proxiesTable, register.Stamp{}, register.Stamp{}, change, false)
+		a.source.Put(router.ProxiesKey, register.Stamp{}, register.Stamp{}, change, false)
 	}
 	a.watch(ctx)
 }
@@ -421,8 +416,8 @@
 			a.replicas[name]()
 			delete(a.replicas, name)
 			delete(a.watched, name)
-			a.source.Put(reportsTable, register.Stamp{}, register.Stamp{}, register.Fields{name: nil}, false)
-			a.source.Put(keptTables+name, register.Stamp{}, register.Stamp{}, register.Fields{}, true)
+			a.source.Put(router.ReportsKey, register.Stamp{}, register.Stamp{}, register.Fields{name: nil}, false)
+			a.source.Put(router.KeptPrefix+name, register.Stamp{}, register.Stamp{}, register.Fields{}, true)
 		}
 	}
 }
@@ -454,9 +449,9 @@
 			change[block] = nil
 		}
 		if len(change) > 0 || body.IsImage {
-			a.source.Put(keptTables+r.Name, register.Stamp{}, register.Stamp{}, change, body.IsImage)
+			a.source.Put(router.KeptPrefix+r.Name, register.Stamp{}, register.Stamp{}, change, body.IsImage)
 		}
-		a.source.Put(reportsTable, register.Stamp{}, register.Stamp{}, register.Fields{r.Name: raw}, false)
+		a.source.Put(router.ReportsKey, register.Stamp{}, register.Stamp{}, register.Fields{r.Name: raw}, false)
 		last = body.Report
 	}
 	step()
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -31,8 +31,6 @@
 	selfFolder   = "self"
 	incarnFile   = "incarnation"
 	holdPrefix   = "hold/"
-	holdTable    = "hold" // the key of the running holds on links
-	proxiesTable = "proxies"
 )
 
 // Core keeps the control state on its disk.
@@ -138,8 +136,8 @@
 func (c *Core) holdNews(e hold.Entry) {
 	raw, _ := json.Marshal(e.Notice) // a plain struct always encodes
 	fields := register.Fields{e.Scope: raw}
-	c.whole.Put(holdTable, register.Stamp{}, register.Stamp{}, fields, false)
-	c.data.Put(holdTable, register.Stamp{}, register.Stamp{}, fields, false)
+	c.whole.Put(router.HoldKey, register.Stamp{}, register.Stamp{}, fields, false)
+	c.data.Put(router.HoldKey, register.Stamp{}, register.Stamp{}, fields, false)
 }
 
 // resumeHold counts what a hold on disk had left from the start again: later, never earlier (§4.2).
@@ -174,10 +172,9 @@
 	serveRing(mux, fleet, c.ring)
 	serveMetrics(mux, c.figures)
 	mux.Handle("POST /query", link.Serve(fleet, c.Query))
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if now := c.council(); now.self == nil || len(c.live()) < len(now.members)/2+1 {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
+	link.ServeReady(mux, func() bool {
+		now := c.council()
+		return now.self != nil && len(c.live()) >= len(now.members)/2+1
 	})
 	op(mux, c, "blueprint", func(BlueprintOrder) string { return blueprint.Key }, c.orderBlueprint, false)
 	op(mux, c, "keys", func(o KeyOrder) string { return blueprint.KeysPrefix + o.Tenant }, c.orderKey, true)
@@ -252,7 +249,7 @@
 	for _, m := range now.members {
 		if m.Incarnation != c.incarnation && c.followers[m.Name] == nil {
 			f := link.NewFollower(link.FollowerOptions{
-				Wire: c.wire, Address: m.Address, Path: "/core/whole", Wait: pullWait, News: c.partnerNews,
+				Wire: c.wire, Address: m.Address, Path: "/core/whole", Wait: pullWait, News: takeHolds(c.table),
 				Ask: func() link.Ask { return link.Ask{Name: c.place.Name, Role: "core"} },
 			})
 			c.followers[m.Name] = f
@@ -284,20 +281,11 @@
 	c.table.Prune(time.Hour)
 }
 
-// partnerNews takes running holds from another core.
-func (c *Core) partnerNews(_ *link.Follower, answer link.Answer) {
-	for _, e := range answer.Entries {
-		if e.Key == holdTable {
-			c.table.Learn(e.Fields, e.AgesMs)
-		}
-	}
-}
-
 // catchUp adopts settled content that this disk lacks (§2.4), and says how many keys it could not take.
 func (c *Core) catchUp(f *link.Follower) (failed int) {
 	for _, key := range f.Keys() {
 		stamp, settled := f.Stamps(key)
-		if key == holdTable || !register.IsSettled(stamp, settled) || !c.keeper.Stamp(key).Less(stamp) {
+		if key == router.HoldKey || !register.IsSettled(stamp, settled) || !c.keeper.Stamp(key).Less(stamp) {
 			continue
 		}
 		held := f.Read(key)
@@ -350,7 +338,7 @@
 	change := blueprint.Delta(c.proxies, fields)
 	if len(change) > 0 {
 		c.proxies = fields
-		c.data.Put(proxiesTable, register.Stamp{}, register.Stamp{}, change, false)
+		c.data.Put(router.ProxiesKey, register.Stamp{}, register.Stamp{}, change, false)
 	}
 }
 
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -64,7 +64,7 @@
 // runDuties steps this core's seats, and does the duties that it holds.
 func (c *Core) runDuties(ctx context.Context) {
 	r := &rollout{core: c, dialect: router.ChatDialect{}, since: map[string]time.Time{},
-		plain: &http.Client{Transport: &http.Transport{DialContext: c.place.Net.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}},
+		plain: newPlain(c.place.Net),
 		seat: term.New(term.Options{Duty: "rollout", Holder: c.place.Name + "." + c.incarnation + "." + c.whole.Run(), Length: termLength,
 			Margin: termLength / 8, Board: board{c}, Log: c.place.Log}),
 	}
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -11,6 +11,7 @@
 	"asterridge/fail"
 	"asterridge/link"
 	"asterridge/register"
+	"asterridge/router"
 )
 
 // council is the list of members that this core acts on, with its version (§2.8).
@@ -337,7 +338,7 @@
 		c.mu.Lock()
 		for _, f := range c.followers {
 			for _, key := range f.Keys() {
-				keys[key] = keys[key] || key != holdTable
+				keys[key] = keys[key] || key != router.HoldKey
 			}
 		}
 		c.mu.Unlock()
--- a/daemon/outside.go
+++ b/daemon/outside.go
@@ -6,12 +6,19 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"asterridge/blueprint"
 	"asterridge/fail"
+	"asterridge/link"
 	"asterridge/router"
 )
 
+// newPlain makes a client for what is outside the fleet.
+func newPlain(network link.Net) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: network.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}}
+}
+
 // askReport asks a replica for its load, and for what its cache has got or lost since the last report.
 func askReport(ctx context.Context, client *http.Client, dialect router.Dialect, r blueprint.Replica, last router.Report) (reportBody, error) {
 	var body reportBody
--- a/link/wire.go
+++ b/link/wire.go
@@ -96,6 +96,15 @@
 	return nil
 }
 
+// ServeReady answers the platform's check at GET /ready.
+func ServeReady(mux *http.ServeMux, isReady func() bool) {
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
 // EncodeFailure writes an error as its code's status and body.
 func EncodeFailure(_ context.Context, err error, w http.ResponseWriter) {
 	f := fail.Of(err)
--- a/router/query.go
+++ b/router/query.go
@@ -51,11 +51,7 @@
 func (r *Router) Admin() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("POST /proxy/query", link.Serve(r.options.Fleet, r.Rows))
-	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !r.IsReady() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
+	link.ServeReady(mux, r.IsReady)
 	return mux
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -30,10 +30,10 @@
 
 // Keys that an agent makes itself, besides the registers.
 const (
-	proxiesKey = "proxies"
-	holdKey    = "hold"
-	reportsKey = "reports"
-	keptPrefix = "kept/"
+	ProxiesKey = "proxies"
+	HoldKey    = "hold"
+	ReportsKey = "reports"
+	KeptPrefix = "kept/"
 )
 
 // Options of a router.
@@ -172,12 +172,12 @@
 	isView := answer.IsImage
 	for _, e := range answer.Entries {
 		switch {
-		case e.Key == holdKey:
+		case e.Key == HoldKey:
 			r.table.Learn(e.Fields, e.AgesMs)
-		case e.Key == reportsKey:
+		case e.Key == ReportsKey:
 			isView = isView || r.view.Load() == nil
-		case strings.HasPrefix(e.Key, keptPrefix):
-			r.learnKept(strings.TrimPrefix(e.Key, keptPrefix), e.Fields, answer.IsImage)
+		case strings.HasPrefix(e.Key, KeptPrefix):
+			r.learnKept(strings.TrimPrefix(e.Key, KeptPrefix), e.Fields, answer.IsImage)
 		default:
 			isView = true
 		}
@@ -194,7 +194,7 @@
 		r.view.Store(v)
 		r.log.Info().Str("event", "view").Uint64("blueprint", v.Version.Version).Int("replicas", len(v.replicas)).Msg("")
 	}
-	r.learnReports(f.Read(reportsKey).Fields)
+	r.learnReports(f.Read(ReportsKey).Fields)
 	r.backlog.WakeAll()
 }
 
--- a/router/view.go
+++ b/router/view.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		return nil, err
 	}
-	_, partners := read(proxiesKey)
+	_, partners := read(ProxiesKey)
 	v := &View{
 		Version: stamp, hold: plan.Hold, tenants: map[string]*tenant{}, access: map[string]*tenant{}, pools: map[string]*pool{},
 		replicas: map[string]*replica{},
