Saved-up second shots no longer burst over a fifth at one proxy

Cause: a proxy could save up 20 tokens and spend them within seconds: 12 second tries on 9 first ones in 10 s (one tenant refused without a ground). Conclusion: at most five saved up.

--- a/router/counts.go
+++ b/router/counts.go
@@ -39,8 +39,8 @@
 
 const (
 	budgetPart      = 0.1
-	budgetAllowance = 3
-	budgetMost      = 20
+	budgetAllowance = 1 // of each life of the process
+	budgetMost      = 5 // what is saved up: a burst beyond the part is no larger
 )
 
 func (b *budget) first() {
