What a replica starts is checked in the moment of the write, and bytes do not outlive a cut

Cause: the last look was taken before a connection was sought, which may take seconds; bytes that the kernel took during a cut were delivered at its end; a wall put up while a request waited was ignored; a tenant's name given anew met the cache and the access keys of the tenant before. The simulated network drops what is not acknowledged alike. Tenants and the keys granted to them bear the version that created the tenant. Retry-After dates count by the replica's own Date. Ruled out: a look before each later write of a body (bytes have left by then, so it could not be called not run).

--- a/blueprint/blueprint.go
+++ b/blueprint/blueprint.go
@@ -19,9 +19,10 @@
 type Tenant struct {
 	Name     string `json:"name"`
 	IsWalled bool   `json:"walled"`
-	Weight   int    `json:"weight"`  // its part in the round robin
-	Backlog  int    `json:"backlog"` // how many requests may wait in one proxy
-	Scope    string `json:"scope"`   // "tenant" or "pool": what a hold covers
+	Weight   int    `json:"weight"`         // its part in the round robin
+	Backlog  int    `json:"backlog"`        // how many requests may wait in one proxy
+	Scope    string `json:"scope"`          // "tenant" or "pool": what a hold covers
+	Born     uint64 `json:"born,omitempty"` // the blueprint's version that created it: a name given anew is another tenant (§6.3)
 }
 
 // Pool is a set of replicas that serve the same weights, or a web back end.
@@ -100,6 +101,17 @@
 	return nil
 }
 
+// Inherit has the tenants that were there keep the version that created them, and gives the others this one.
+func (b *Blueprint) Inherit(base *Blueprint, version uint64) {
+	for name, t := range b.Tenants {
+		t.Born = version
+		if before, isThere := base.Tenants[name]; isThere {
+			t.Born = before.Born
+		}
+		b.Tenants[name] = t
+	}
+}
+
 // Fields writes the blueprint as register fields.
 func (b *Blueprint) Fields() register.Fields {
 	fields := register.Fields{}
--- a/blueprint/state.go
+++ b/blueprint/state.go
@@ -28,7 +28,8 @@
 
 // Access is what is kept of an access key, under its hash.
 type Access struct {
-	IsRevoked bool `json:"revoked"`
+	IsRevoked bool   `json:"revoked"`
+	Born      uint64 `json:"born,omitempty"` // the tenant's life that it was granted to
 }
 
 // Member is a core.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	Seeds   []string
 	Net     link.Net
 	Log     zerolog.Logger
+	Clock   func() time.Time // the wall clock, which decides nothing (§1.3); nil: the machine's
 }
 
 // serve answers on a listener until the context ends; then it lets running answers finish for the grace.
@@ -55,3 +56,15 @@
 		}
 	}
 }
+
+// rest waits, or gives the context's error if it ends before.
+func rest(ctx context.Context, d time.Duration) error {
+	schedule := time.NewTimer(d)
+	defer schedule.Stop()
+	select {
+	case <-schedule.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -41,6 +41,7 @@
 		if err != nil {
 			return nil, err
 		}
+		made.Inherit(base, version+1)
 		fields := made.Fields()
 		if isNew := len(fields) > len(now); o.Named == "new" && !isNew && len(now) > 0 {
 			return nil, fail.New(fail.Exists, "a thing of this name is there already")
@@ -72,21 +73,53 @@
 	if o.Tenant == "" || len(o.Hash) != 32 {
 		return Accepted{}, fail.New(fail.Missing, "a key order needs a tenant and a key's hash of 32 hex digits")
 	}
+	born, err := c.bornOf(ctx, o.Tenant)
+	if err != nil && !o.IsRevoked {
+		return Accepted{}, err
+	}
 	key := blueprint.KeysPrefix + o.Tenant
 	stamp, err := c.owner.Change(ctx, key, func(now register.Fields, _ uint64) (register.Fields, error) {
-		if o.IsRevoked && now[o.Hash] == nil {
+		var before blueprint.Access
+		isThere := now[o.Hash] != nil && json.Unmarshal(now[o.Hash], &before) == nil
+		switch {
+		case o.IsRevoked && !isThere:
 			return nil, fail.New(fail.NotFound, "tenant %s has no such key", o.Tenant)
-		}
-		change := blueprint.Field(o.Hash, blueprint.Access{IsRevoked: o.IsRevoked})
-		if !o.IsRevoked && now[o.Hash] != nil && string(now[o.Hash]) != string(change[o.Hash]) {
+		case o.IsRevoked:
+			before.IsRevoked = true
+			return blueprint.Field(o.Hash, before), nil
+		case before.IsRevoked:
 			return nil, fail.New(fail.Conflict, "the key was revoked: it does not come back")
 		}
-		return change, nil
+		return blueprint.Field(o.Hash, blueprint.Access{Born: born}), nil
 	})
 	c.note("key", key, stamp, err)
 	return Accepted{stamp.Version}, err
 }
 
+// bornOf gives the life of a tenant, as of all that was accepted before.
+func (c *Core) bornOf(ctx context.Context, tenant string) (uint64, error) {
+	short, stop := context.WithTimeout(ctx, majorityWait)
+	defer stop()
+	newest, err := link.Call[SettleAnswer](short, c.wire, c.place.Address, "/op/settle", SettleOrder{Key: blueprint.Key})
+	if err != nil {
+		return 0, err
+	}
+	for c.keeper.Stamp(blueprint.Key).Less(newest.Stamp) {
+		if err := rest(short, beatTime/10); err != nil {
+			return 0, fail.Wrap(err, fail.Behind, "the blueprint")
+		}
+	}
+	plan, err := blueprint.FromFields(c.keeper.Read(blueprint.Key).Fields)
+	if err != nil {
+		return 0, err
+	}
+	t, isThere := plan.Tenants[tenant]
+	if !isThere {
+		return 0, fail.New(fail.NotFound, "no tenant %q", tenant)
+	}
+	return t.Born, nil
+}
+
 // ReplicasOrder is the platform's news; the text is read field by field.
 type ReplicasOrder struct {
 	Text json.RawMessage `json:"text"`
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -29,7 +29,7 @@
 func NewProxy(place Place, options ProxyOptions) *Proxy {
 	return &Proxy{place: place, grace: options.Grace, Router: router.New(router.Options{
 		Name: place.Name, Zone: place.Zone, Fleet: place.Fleet, Agent: options.Agent, Admin: options.Admin,
-		Net: place.Net, Log: place.Log, Seed: options.Seed, Index: options.Index,
+		Net: place.Net, Log: place.Log, Seed: options.Seed, Index: options.Index, Clock: place.Clock,
 	})}
 }
 
--- a/link/wire.go
+++ b/link/wire.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/kit/endpoint"
 	kithttp "github.com/go-kit/kit/transport/http"
+	"golang.org/x/sys/unix"
 
 	"asterridge/fail"
 )
@@ -33,6 +34,30 @@
 	return l, fail.Wrap(err, fail.Settings, "listen on "+address)
 }
 
+// Bound limits how long the kernel tries to deliver what it has taken, and how much it takes. Connections that are no sockets of this
+// machine may offer the like by methods of the same meaning.
+func Bound(c net.Conn, unacknowledged time.Duration, buffer int) error {
+	if other, isOther := c.(interface{ SetUserTimeout(time.Duration) }); isOther {
+		other.SetUserTimeout(unacknowledged)
+		return nil
+	}
+	socket, isSocket := c.(*net.TCPConn)
+	if !isSocket {
+		return fail.New(fail.Internal, "a connection of type %T", c)
+	}
+	if err := socket.SetWriteBuffer(buffer); err != nil {
+		return fail.Wrap(err, fail.Internal, "send buffer")
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return fail.Wrap(err, fail.Internal, "socket")
+	}
+	failed := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
+	})
+	return fail.Wrap(errors.Join(failed, err), fail.Internal, "user timeout")
+}
+
 // Wire calls the other daemons of one fleet.
 type Wire struct {
 	Fleet  string
--- a/prompt/prompt.go
+++ b/prompt/prompt.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -15,10 +16,10 @@
 // BlockSize is the number of bytes of a prompt's block.
 const BlockSize = 256
 
-// Domain is the cache domain of a request: its wall and the weights.
-func Domain(tenant string, isWalled bool, weights string) string {
+// Domain is the cache domain of a request: its wall, which is one life of a tenant's name, and the weights.
+func Domain(tenant string, born uint64, isWalled bool, weights string) string {
 	if isWalled {
-		return "tenant:" + tenant + "@" + weights
+		return "tenant:" + tenant + "." + strconv.FormatUint(born, 10) + "@" + weights
 	}
 	return "common@" + weights
 }
--- a/prompt/prompt_test.go
+++ b/prompt/prompt_test.go
@@ -11,12 +11,12 @@
 func TestChainsMeetOnlyWithinADomainAndUpToTheFirstDifference(t *testing.T) {
 	is := is.New(t)
 	opening := strings.Repeat("o", 4*BlockSize)
-	one := Blocks(Domain("a", false, "w1"), opening+strings.Repeat("x", BlockSize), 10)
-	two := Blocks(Domain("b", false, "w1"), opening+strings.Repeat("y", BlockSize)+"rest", 10)
+	one := Blocks(Domain("a", 1, false, "w1"), opening+strings.Repeat("x", BlockSize), 10)
+	two := Blocks(Domain("b", 1, false, "w1"), opening+strings.Repeat("y", BlockSize)+"rest", 10)
 	is.Equal(len(one), 5)
 	is.Equal(one[:4], two[:4]) // the common domain
 	is.True(one[4] != two[4])
-	for _, domain := range []string{Domain("a", true, "w1"), Domain("a", false, "w2"), Domain("b", true, "w1")} {
+	for _, domain := range []string{Domain("a", 1, true, "w1"), Domain("a", 1, false, "w2"), Domain("b", 1, true, "w1"), Domain("a", 2, true, "w1")} {
 		for i, block := range Blocks(domain, opening, 10) {
 			is.True(block != one[i]) // behind a wall, or under other weights, nothing is shared
 		}
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -126,7 +126,7 @@
 	if !isLawful {
 		panic("request " + x.ID + ": no step from " + string(x.State) + " to " + string(to))
 	}
-	e := Event{Request: x.ID, Prior: x.State, New: to, Shot: x.Shot, At: time.Now(), Reason: reason}
+	e := Event{Request: x.ID, Prior: x.State, New: to, Shot: x.Shot, At: r.options.Clock(), Reason: reason}
 	if x.Tenant != nil {
 		e.Tenant = x.Tenant.Name
 	}
--- a/router/filters.go
+++ b/router/filters.go
@@ -1,13 +1,10 @@
 package router
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
@@ -16,7 +13,6 @@
 	"asterridge/fail"
 	"asterridge/hold"
 	"asterridge/link"
-	"asterridge/prompt"
 )
 
 // handle is the rest of the chain.
@@ -166,6 +162,10 @@
 			return nil
 		}
 		if err == errRedraw {
+			if x.State == Submitted { // its connection came too late: not a byte of it was written
+				r.step(x, RetryWait, "not sent")
+				r.step(x, Eligible, "again")
+			}
 			continue
 		}
 		var retry errAgain
@@ -300,196 +300,3 @@
 		}
 	}()
 }
-
-// recheck looks again at everything at the moment of sending (§3.2).
-func (r *Router) recheck(x *Exchange) error {
-	if err := r.admits(); err != nil {
-		return err
-	}
-	v := r.view.Load()
-	if t := v.access[x.Access]; t == nil || t.Name != x.Tenant.Name {
-		return fail.New(fail.BadKey, "the key was revoked while the request waited")
-	}
-	x.View = v
-	p, rep := v.pools[x.Path.Pool], v.replicas[x.replica.Name]
-	if p == nil {
-		return fail.New(fail.NoPath, "the path's pool is gone")
-	}
-	if until := r.table.Until(x.item.Scope); !until.IsZero() {
-		return errRedraw
-	}
-	if rep == nil || rep.Address != x.replica.Address {
-		return errRedraw
-	}
-	if weights, isFit := r.mayServe(p, rep, time.Now()); !isFit || weights != x.weights {
-		return errRedraw
-	}
-	return nil
-}
-
-// Handle sends the request to its replica and waits for the first piece of the answer.
-func (f sendFilter) Handle(ctx context.Context, x *Exchange, onward func(context.Context, *Exchange) error) error {
-	r, rep := f.r, x.replica
-	domain := prompt.Domain(x.Tenant.Name, x.Tenant.IsWalled, x.weights)
-	// The stream outlives the wait for its first piece: it has the caller's context, and a stop of its own.
-	sending, stop := context.WithCancel(x.Request.Context())
-	isReached := false
-	traced := httptrace.WithClientTrace(sending, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { isReached = true }})
-	q, err := http.NewRequestWithContext(traced, x.Request.Method, "http://"+rep.Address+x.Request.URL.RequestURI(), nil)
-	if err != nil {
-		stop()
-		return fail.Wrap(err, fail.Internal, "make request")
-	}
-	for name, values := range x.Request.Header {
-		switch name {
-		case "Authorization", "Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Idempotency-Key", "Proxy-Connection", "Expect":
-		default:
-			q.Header[name] = values
-		}
-	}
-	weights := x.weights
-	if x.Path.pool.Kind == "web" {
-		weights = ""
-	}
-	r.options.Dialect.Dress(q.Header, x, domain, weights, x.source)
-	// A body reader without GetBody keeps net/http from resending by itself (§5.4).
-	q.Body, q.GetBody = io.NopCloser(struct{ io.Reader }{bytes.NewReader(x.Body)}), nil
-	if len(x.Body) > 0 {
-		q.ContentLength = int64(len(x.Body))
-	}
-	if err := r.recheck(x); err != nil {
-		stop()
-		return err
-	}
-	r.step(x, Submitted, "")
-	x.Sent = time.Now()
-	if x.Shot == 0 {
-		r.budget.first()
-		r.counts.add("first_shots", 1)
-	}
-	schedule := time.AfterFunc(time.Until(x.Deadline), stop)
-	answer, err := r.upstream.RoundTrip(q)
-	if err != nil {
-		schedule.Stop()
-		stop()
-		var refused *net.OpError
-		if !isReached && errors.As(err, &refused) && refused.Op == "dial" {
-			r.cool(rep)
-			return errAgain{fail.Wrap(err, fail.ReplicaSaid, "no connection was made")}
-		}
-		return r.lost(x, err)
-	}
-	verdict := r.options.Dialect.Judge(answer)
-	if !verdict.IsServed {
-		schedule.Stop()
-		_ = answer.Body.Close()
-		stop()
-		return r.refused(x, answer, verdict)
-	}
-	if id := r.options.Dialect.AnswerID(answer); id != x.ID {
-		schedule.Stop()
-		_ = answer.Body.Close()
-		stop()
-		x.isSent = true
-		r.log.Error().Str("event", "foreign_answer").Str("request", x.ID).Str("answer", id).Str("replica", rep.Name).Msg("")
-		return fail.New(fail.ForeignAnswer, "answer %q", id)
-	}
-	x.Answer = &Answer{Status: answer.StatusCode, Header: answer.Header, Rest: answer.Body, finish: func(error) {
-		_ = answer.Body.Close()
-		stop()
-	}}
-	isStream := strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream")
-	if isStream {
-		x.Answer.IsEnd = r.options.Dialect.IsEnd
-		buffer := pieces.Get().(*[pieceSize]byte)
-		x.Answer.buffer = buffer
-		n, readErr := answer.Body.Read(buffer[:])
-		for n == 0 && readErr == nil {
-			n, readErr = answer.Body.Read(buffer[:])
-		}
-		err = readErr
-		if n > 0 || errors.Is(err, io.EOF) {
-			err = nil
-		}
-		x.Answer.First = buffer[:n]
-	} else if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 {
-		err = fail.New(fail.StreamCut, "an answer without an end of its own")
-	} else if answer.ContentLength <= maxWhole {
-		x.Answer.First, err = io.ReadAll(io.LimitReader(answer.Body, maxWhole+1))
-		x.Answer.IsAll = len(x.Answer.First) <= maxWhole
-	}
-	if !schedule.Stop() && err == nil {
-		err = context.DeadlineExceeded
-	}
-	if err != nil {
-		x.Answer.finish(err)
-		return r.lost(x, err)
-	}
-	r.began(x, time.Since(x.Sent))
-	r.index.Learn(rep.Name, x.chain(domain))
-	return nil
-}
-
-const maxWhole = 1 << 20
-
-// lost ends a shot that may have run.
-func (r *Router) lost(x *Exchange, err error) error {
-	x.isSent = true
-	if x.Request.Context().Err() != nil {
-		return fail.Wrap(err, fail.OutcomeLost, "the caller left")
-	}
-	r.cool(x.replica)
-	r.log.Warn().Str("event", "lost").Str("request", x.ID).Str("replica", x.replica.Name).Err(err).Msg("")
-	lost := fail.Wrap(err, fail.OutcomeLost, "no whole answer from "+x.replica.Name)
-	if x.IsRepeatable && time.Now().Before(x.Deadline) {
-		return errAgain{lost}
-	}
-	return fail.New(fail.OutcomeLost, "%v", lost)
-}
-
-// refused reads a refusal: a throttle holds the tenant's scope; all that the dialect defines as not run may be shot again.
-func (r *Router) refused(x *Exchange, answer *http.Response, v Verdict) error {
-	r.counts.add("refusals", 1)
-	cause := fail.New(fail.ReplicaSaid, "%s refused: %s", x.replica.Name, v.Reason)
-	if v.IsPushed {
-		r.counts.add("refusals_pushed", 1)
-		rule := r.view.Load().hold
-		values := answer.Header.Values("Retry-After")
-		isOurs := v.IsTenant || r.signals.Refused(x.replica.index, x.Tenant.index)
-		if !isOurs {
-			r.cool(x.replica)
-		}
-		if isOurs || len(values) > 0 {
-			delay, isParsed := hold.RetryAfter(values, time.Now(), time.Duration(rule.CapMs)*time.Millisecond)
-			if !isParsed {
-				delay = r.random.backoff(rule, x.Shot+r.streak(x))
-			}
-			r.throttle(x, delay, "refused: "+v.Reason, strings.Join(values, " | "))
-		}
-	}
-	if v.IsMoved {
-		r.cool(x.replica)
-	}
-	if !v.IsNotRun {
-		x.isSent = true
-		return fail.New(fail.OutcomeLost, "%s refused: %s", x.replica.Name, v.Reason)
-	}
-	return errAgain{cause}
-}
-
-// began feeds the delay of the first piece to the signals.
-func (r *Router) began(x *Exchange, delay time.Duration) {
-	x.replica.bad.Store(0)
-	said := x.replica.report.Load()
-	if said == nil || !said.IsWarm {
-		return // slow for everyone
-	}
-	rule := r.view.Load().hold
-	cold := time.Duration(float64(len(x.Prompt.Text)) / said.rate() * float64(time.Millisecond))
-	if r.signals.Began(x.replica.index, x.Path.index, x.Tenant.index, delay, cold, rule.SlowRatio) {
-		r.throttle(x, r.random.backoff(rule, r.streak(x)), "slowed", "")
-	}
-	if x.Path.pool.Kind == "model" && !r.signals.IsSlow(x.Tenant.index) {
-		r.calm(x)
-	}
-}
--- a/router/pool.go
+++ b/router/pool.go
@@ -60,7 +60,7 @@
 		if !isFit || !r.hasRoom(rep) || now.Before(*rep.coolUntil.Load()) {
 			continue
 		}
-		domain := prompt.Domain(x.Tenant.Name, x.Tenant.IsWalled, weights)
+		domain := prompt.Domain(x.Tenant.Name, x.Tenant.Born, x.Tenant.IsWalled, weights)
 		kept, isKnown := chains[domain]
 		if !isKnown && p.Kind == "model" {
 			kept = r.index.Kept(x.chain(domain))
--- a/router/router.go
+++ b/router/router.go
@@ -46,10 +46,11 @@
 	Log     zerolog.Logger
 	Seed    uint64
 	Dialect Dialect
-	Filters []Filter // policies of one's own, after identity and path are known
-	Audit   int      // events kept; 0: 4096
-	Index   int      // entries of the index of kept prompts; 0: no index, the draw goes by load and by the prompt's opening
-	Admin   string   // where the agent reaches this router's queries
+	Filters []Filter         // policies of one's own, after identity and path are known
+	Audit   int              // events kept; 0: 4096
+	Index   int              // entries of the index of kept prompts; 0: no index, the draw goes by load and by the prompt's opening
+	Admin   string           // where the agent reaches this router's queries
+	Clock   func() time.Time // the wall clock, for audit events and dates that a replica does not date itself; nil: the machine's
 }
 
 // Router is one data plane process's state.
@@ -96,6 +97,9 @@
 	if options.Audit == 0 {
 		options.Audit = 4096
 	}
+	if options.Clock == nil {
+		options.Clock = time.Now
+	}
 	if options.Dialect == nil {
 		options.Dialect = ChatDialect{}
 	}
@@ -104,8 +108,7 @@
 	r := &Router{
 		options: options, log: options.Log, wire: link.NewWire(options.Fleet, options.Net),
 		upstream: &http.Transport{
-			DialContext: options.Net.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second,
-			DisableCompression: true,
+			MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
 		},
 		names: indices{map[string]int{}}, signals: hold.NewSignals(), index: prompt.NewIndex(options.Index),
 		audit: newAudit(options.Audit), counts: newCounts(), budget: budget{tokens: budgetAllowance},
@@ -113,6 +116,7 @@
 		random:  &lockedRandom{r: mathrand.New(mathrand.NewPCG(options.Seed, h.Sum64()))},
 		reports: make(chan hold.Notice, 256), draining: make(chan struct{}),
 	}
+	r.upstream.DialContext = r.dialGuarded
 	r.table = hold.NewTable(func(e hold.Entry) {
 		r.log.Info().Str("event", "hold").Str("scope", e.Scope).Str("mark", e.Mark).Int64("remaining_ms", e.RemainingMs).Str("reason", e.Reason).Msg("")
 		r.backlog.WakeAll()
--- /dev/null
+++ b/router/send.go
@@ -0,0 +1,257 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"time"
+
+	"asterridge/fail"
+	"asterridge/hold"
+	"asterridge/prompt"
+)
+
+// recheck looks again at everything, before a connection is sought and in the moment of the write (§3.2). It changes nothing.
+func (r *Router) recheck(x *Exchange) (*View, error) {
+	if err := r.admits(); err != nil {
+		return nil, err
+	}
+	v := r.view.Load()
+	t := v.access[x.Access]
+	if t == nil || t.Name != x.Tenant.Name || t.Born != x.Tenant.Born {
+		return nil, fail.New(fail.BadKey, "the key was revoked while the request waited")
+	}
+	p, rep := v.pools[x.Path.Pool], v.replicas[x.replica.Name]
+	if p == nil {
+		return nil, fail.New(fail.NoPath, "the path's pool is gone")
+	}
+	if until := r.table.Until(x.item.Scope); !until.IsZero() {
+		return nil, errRedraw
+	}
+	if rep == nil || rep.Address != x.replica.Address || t.IsWalled != x.Tenant.IsWalled {
+		return nil, errRedraw
+	}
+	if weights, isFit := r.mayServe(p, rep, time.Now()); !isFit || weights != x.weights {
+		return nil, errRedraw
+	}
+	return v, nil
+}
+
+// Handle sends the request to its replica and waits for the first piece of the answer.
+func (f sendFilter) Handle(_ context.Context, x *Exchange, _ func(context.Context, *Exchange) error) error {
+	r, rep := f.r, x.replica
+	if v := r.view.Load(); v.access[x.Access] != nil && v.access[x.Access].Name == x.Tenant.Name && v.access[x.Access].Born == x.Tenant.Born {
+		x.Tenant = v.access[x.Access] // its wall may have been put up or taken down while the request waited
+	}
+	domain := prompt.Domain(x.Tenant.Name, x.Tenant.Born, x.Tenant.IsWalled, x.weights)
+	if _, err := r.recheck(x); err != nil {
+		return err
+	}
+	// The stream outlives the wait for its first piece: it has the caller's context, and a stop of its own.
+	sending, stop := context.WithCancel(x.Request.Context())
+	schedule := time.AfterFunc(time.Until(x.Deadline), stop)
+	answer, err := r.send(sending, x, domain)
+	if err != nil {
+		schedule.Stop()
+		stop()
+		return err
+	}
+	verdict := r.options.Dialect.Judge(answer)
+	if !verdict.IsServed {
+		schedule.Stop()
+		_ = answer.Body.Close()
+		stop()
+		return r.refused(x, answer, verdict)
+	}
+	x.Answer = &Answer{Status: answer.StatusCode, Header: answer.Header, Rest: answer.Body, finish: func(error) {
+		_ = answer.Body.Close()
+		stop()
+	}}
+	if id := r.options.Dialect.AnswerID(answer); id != x.ID {
+		schedule.Stop()
+		x.Answer.finish(nil)
+		x.isSent = true
+		r.log.Error().Str("event", "foreign_answer").Str("request", x.ID).Str("answer", id).Str("replica", rep.Name).Msg("")
+		return fail.New(fail.ForeignAnswer, "answer %q", id)
+	}
+	err = r.firstPiece(x, answer)
+	if !schedule.Stop() && err == nil {
+		err = context.DeadlineExceeded
+	}
+	if err != nil {
+		x.Answer.finish(err)
+		return r.lost(x, err)
+	}
+	r.began(x, time.Since(x.Sent))
+	r.index.Learn(rep.Name, x.chain(domain))
+	return nil
+}
+
+// dress makes the replica's request of the caller's.
+func (r *Router) dress(ctx context.Context, x *Exchange, domain string) (*http.Request, error) {
+	q, err := http.NewRequestWithContext(ctx, x.Request.Method, "http://"+x.replica.Address+x.Request.URL.RequestURI(), nil)
+	if err != nil {
+		return nil, fail.Wrap(err, fail.Internal, "make request")
+	}
+	for name, values := range x.Request.Header {
+		switch name {
+		case "Authorization", "Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Idempotency-Key", "Proxy-Connection", "Expect":
+		default:
+			q.Header[name] = values
+		}
+	}
+	weights := x.weights
+	if x.Path.pool.Kind == "web" {
+		weights = ""
+	}
+	r.options.Dialect.Dress(q.Header, x, domain, weights, x.source)
+	// A body reader without GetBody keeps net/http from resending by itself (§5.4).
+	q.Body, q.GetBody = io.NopCloser(struct{ io.Reader }{bytes.NewReader(x.Body)}), nil
+	if len(x.Body) > 0 {
+		q.ContentLength = int64(len(x.Body))
+	}
+	return q, nil
+}
+
+// send writes the request and waits for the answer's head. What was not written for sure did not run; all else may have (§3.2).
+func (r *Router) send(ctx context.Context, x *Exchange, domain string) (*http.Response, error) {
+	var line *guard
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
+		line = got.Conn.(*guard) // all that the transport dials are
+		line.arm(func() (*View, error) { return r.recheck(x) })
+	}})
+	q, err := r.dress(traced, x, domain)
+	if err != nil {
+		return nil, err
+	}
+	r.step(x, Submitted, "")
+	answer, err := r.upstream.RoundTrip(q)
+	var seen *View
+	var at time.Time
+	failure := errUnwritten
+	if line != nil {
+		seen, at, failure = line.settle()
+	}
+	if seen == nil {
+		r.counts.add("unwritten", 1)
+		switch {
+		case failure != errUnwritten:
+			return nil, failure
+		case x.Request.Context().Err() != nil:
+			return nil, fail.New(fail.CallerGone, "left before the request was written")
+		}
+		r.cool(x.replica)
+		return nil, errAgain{fail.Wrap(err, fail.ReplicaSaid, "no connection, or none that was written to")}
+	}
+	x.View, x.Sent = seen, at
+	if x.Shot == 0 {
+		r.budget.first()
+		r.counts.add("first_shots", 1)
+	}
+	if err != nil {
+		return nil, r.lost(x, err)
+	}
+	return answer, nil
+}
+
+// firstPiece reads the first piece of a stream, or a short answer whole.
+func (r *Router) firstPiece(x *Exchange, answer *http.Response) error {
+	a := x.Answer
+	switch {
+	case strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream"):
+		a.IsEnd = r.options.Dialect.IsEnd
+		a.buffer = pieces.Get().(*[pieceSize]byte)
+		n, err := answer.Body.Read(a.buffer[:])
+		for n == 0 && err == nil {
+			n, err = answer.Body.Read(a.buffer[:])
+		}
+		a.First = a.buffer[:n]
+		if n == 0 && !errors.Is(err, io.EOF) {
+			return err
+		}
+	case answer.ContentLength < 0 && len(answer.TransferEncoding) == 0:
+		return fail.New(fail.StreamCut, "an answer without an end of its own")
+	case answer.ContentLength <= maxWhole:
+		var err error
+		a.First, err = io.ReadAll(io.LimitReader(answer.Body, maxWhole+1))
+		a.IsAll = len(a.First) <= maxWhole
+		return err
+	}
+	return nil
+}
+
+const maxWhole = 1 << 20
+
+// lost ends a shot that may have run.
+func (r *Router) lost(x *Exchange, err error) error {
+	x.isSent = true
+	if x.Request.Context().Err() != nil {
+		return fail.Wrap(err, fail.OutcomeLost, "the caller left")
+	}
+	r.cool(x.replica)
+	r.log.Warn().Str("event", "lost").Str("request", x.ID).Str("replica", x.replica.Name).Err(err).Msg("")
+	lost := fail.Wrap(err, fail.OutcomeLost, "no whole answer from "+x.replica.Name)
+	if x.IsRepeatable && time.Now().Before(x.Deadline) {
+		return errAgain{lost}
+	}
+	return fail.New(fail.OutcomeLost, "%v", lost)
+}
+
+// refused reads a refusal: a throttle holds the tenant's scope; all that the dialect defines as not run may be shot again.
+func (r *Router) refused(x *Exchange, answer *http.Response, v Verdict) error {
+	r.counts.add("refusals", 1)
+	cause := fail.New(fail.ReplicaSaid, "%s refused: %s", x.replica.Name, v.Reason)
+	if v.IsPushed {
+		r.counts.add("refusals_pushed", 1)
+		rule := r.view.Load().hold
+		values := answer.Header.Values("Retry-After")
+		isOurs := v.IsTenant || r.signals.Refused(x.replica.index, x.Tenant.index)
+		if !isOurs {
+			r.cool(x.replica)
+		}
+		if isOurs || len(values) > 0 {
+			delay, isParsed := hold.RetryAfter(values, r.dateOf(answer), time.Duration(rule.CapMs)*time.Millisecond)
+			if !isParsed {
+				delay = r.random.backoff(rule, x.Shot+r.streak(x))
+			}
+			r.throttle(x, delay, "refused: "+v.Reason, strings.Join(values, " | "))
+		}
+	}
+	if v.IsMoved {
+		r.cool(x.replica)
+	}
+	if !v.IsNotRun {
+		x.isSent = true
+		return fail.New(fail.OutcomeLost, "%s refused: %s", x.replica.Name, v.Reason)
+	}
+	return errAgain{cause}
+}
+
+// dateOf is the replica's own wall clock, by which its Retry-After dates count; ours may have jumped.
+func (r *Router) dateOf(answer *http.Response) time.Time {
+	if at, err := http.ParseTime(answer.Header.Get("Date")); err == nil {
+		return at
+	}
+	return r.options.Clock()
+}
+
+// began feeds the delay of the first piece to the signals.
+func (r *Router) began(x *Exchange, delay time.Duration) {
+	x.replica.bad.Store(0)
+	said := x.replica.report.Load()
+	if said == nil || !said.IsWarm {
+		return // slow for everyone
+	}
+	rule := r.view.Load().hold
+	cold := time.Duration(float64(len(x.Prompt.Text)) / said.rate() * float64(time.Millisecond))
+	if r.signals.Began(x.replica.index, x.Path.index, x.Tenant.index, delay, cold, rule.SlowRatio) {
+		r.throttle(x, r.random.backoff(rule, r.streak(x)), "slowed", "")
+	}
+	if x.Path.pool.Kind == "model" && !r.signals.IsSlow(x.Tenant.index) {
+		r.calm(x)
+	}
+}
--- a/router/view.go
+++ b/router/view.go
@@ -132,7 +132,7 @@
 				return nil, err
 			}
 			for hash, access := range all {
-				if !access.IsRevoked {
+				if !access.IsRevoked && access.Born == t.Born {
 					v.access[hash] = t
 				}
 			}
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -48,9 +48,10 @@
 	Diary      standin.Diary
 	AgentSeeds []string // of agents started from now on
 	AgentDisks map[int]*Disk
-	lost       string       // a core whose disk was wiped and that is not readmitted yet
-	asked      atomic.Int64 // by hand
-	gone       map[int]bool // core machines that were replaced for good
+	lost       string                   // a core whose disk was wiped and that is not readmitted yet
+	asked      atomic.Int64             // by hand
+	skews      map[string]time.Duration // of wall clocks, by host
+	gone       map[int]bool             // core machines that were replaced for good
 }
 
 // The hosts' numbers.
@@ -69,7 +70,7 @@
 // NewFleet makes the network and the disks, and starts all daemons and stand-ins.
 func NewFleet(o FleetOptions) *Fleet {
 	f := &Fleet{Options: o, Net: NewNetwork(time.Millisecond), Replicas: map[string]*standin.Replica{}, kills: map[string]context.CancelFunc{},
-		Proxies: make([]*daemon.Proxy, o.Proxies), AgentDisks: map[int]*Disk{}, gone: map[int]bool{}, AgentSeeds: []string{At(CoreIP(0)), At(CoreIP(1)), At(CoreIP(2))}}
+		Proxies: make([]*daemon.Proxy, o.Proxies), AgentDisks: map[int]*Disk{}, gone: map[int]bool{}, skews: map[string]time.Duration{}, AgentSeeds: []string{At(CoreIP(0)), At(CoreIP(1)), At(CoreIP(2))}}
 	outside := f.Net.Host(CallerIP)
 	f.Wire = link.NewWire(fleetName, outside)
 	f.Client = &http.Client{Transport: &http.Transport{DialContext: outside.DialContext, MaxIdleConnsPerHost: 256}}
@@ -110,7 +111,19 @@
 }
 
 func (f *Fleet) place(name, ip, zone string) daemon.Place {
-	return daemon.Place{Name: name, Fleet: fleetName, Zone: zone, Address: At(ip), Net: f.Net.Host(ip), Log: f.Options.Log.With().Str("daemon", name).Logger()}
+	return daemon.Place{Name: name, Fleet: fleetName, Zone: zone, Address: At(ip), Net: f.Net.Host(ip), Log: f.Options.Log.With().Str("daemon", name).Logger(),
+		Clock: func() time.Time {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return time.Now().Add(f.skews[ip])
+		}}
+}
+
+// Jump moves a machine's wall clock.
+func (f *Fleet) Jump(ip string, by time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.skews[ip] += by
 }
 
 func must[T any](value T, err error) T {
--- a/sim/network.go
+++ b/sim/network.go
@@ -17,7 +17,7 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*conn]bool
-	cuts      map[[2]string]bool
+	cuts      map[[2]string]time.Time // since when
 	delays    map[[2]string]time.Duration
 	Delay     time.Duration // of every piece
 	isOver    bool          // the run has ended: nobody connects any more
@@ -26,7 +26,7 @@
 
 // NewNetwork makes a network without faults.
 func NewNetwork(delay time.Duration) *Network {
-	return &Network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, cuts: map[[2]string]bool{},
+	return &Network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, cuts: map[[2]string]time.Time{},
 		delays: map[[2]string]time.Duration{}, Delay: delay, news: make(chan struct{})}
 }
 
@@ -49,7 +49,12 @@
 func (n *Network) setCut(from, to string, isCut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cuts[[2]string{from, to}] = isCut
+	at := [2]string{from, to}
+	if !isCut {
+		delete(n.cuts, at)
+	} else if n.cuts[at].IsZero() {
+		n.cuts[at] = time.Now()
+	}
 	n.changed()
 }
 
@@ -74,7 +79,7 @@
 func (n *Network) isCut(from, to string) (bool, chan struct{}, time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	isCut := n.cuts[[2]string{from, to}] || n.cuts[[2]string{"", to}] || n.cuts[[2]string{from, ""}]
+	isCut := !n.cutSince(from, to).IsZero()
 	delay, isSet := n.delays[[2]string{from, to}]
 	if !isSet {
 		delay = n.Delay
@@ -82,6 +87,16 @@
 	return isCut, n.news, delay
 }
 
+// cutSince is when the cut between two hosts began; zero if there is none. n.mu is held.
+func (n *Network) cutSince(from, to string) (since time.Time) {
+	for _, at := range [][2]string{{from, to}, {"", to}, {from, ""}} {
+		if began := n.cuts[at]; !began.IsZero() && (since.IsZero() || began.Before(since)) {
+			since = began
+		}
+	}
+	return since
+}
+
 // Crash resets all connections of a host and shuts its ports, as a killed process does.
 func (n *Network) Crash(ip string) {
 	n.mu.Lock()
@@ -114,7 +129,7 @@
 	for c := range n.conns {
 		left = append(left, c)
 	}
-	n.cuts = map[[2]string]bool{}
+	n.cuts = map[[2]string]time.Time{}
 	n.changed()
 	n.mu.Unlock()
 	for _, c := range left {
@@ -204,6 +219,7 @@
 		return nil, failed(errors.New("connection refused"))
 	}
 	there, back := newPipe(n, h.IP, host(address)), newPipe(n, host(address), h.IP)
+	there.other, back.other = back, there
 	near := &conn{network: n, local: h.IP, remote: host(address), in: back, out: there, remoteAddress: address}
 	far := &conn{network: n, local: host(address), remote: h.IP, in: there, out: back, remoteAddress: h.IP + ":0"}
 	n.conns[near], n.conns[far] = true, true
@@ -240,6 +256,7 @@
 	isShut   bool // by the writer
 	isReset  bool
 	news     chan struct{}
+	other    *pipe // the way back
 }
 
 type piece struct {
@@ -314,9 +331,27 @@
 	return nil
 }
 
-func (p *pipe) write(b []byte, deadline func() time.Time) (int, error) {
+// giveUp ends the connection as a kernel does whose bytes were not acknowledged in time: what has not arrived never does. A byte
+// arrives at its time, or when the cut that it met is mended; its acknowledgement needs the way back.
+func (p *pipe) giveUp(at time.Time) {
+	p.network.mu.Lock()
+	there, back := p.network.cutSince(p.from, p.to), p.network.cutSince(p.to, p.from)
+	p.network.mu.Unlock()
+	isLost := !there.IsZero() && !there.After(at)
+	if isLost {
+		p.abort()
+	}
+	if isLost || !back.IsZero() && !back.After(at) {
+		p.other.abort()
+	}
+}
+
+func (p *pipe) write(b []byte, deadline func() time.Time, unacknowledged time.Duration) (int, error) {
 	sent := 0
 	for sent < len(b) {
+		if end := deadline(); !end.IsZero() && !time.Now().Before(end) {
+			return sent, os.ErrDeadlineExceeded
+		}
 		_, mended, delay := p.network.isCut(p.from, p.to)
 		p.mu.Lock()
 		if p.isReset || p.isShut {
@@ -334,6 +369,9 @@
 			sent += n
 			p.changed()
 			p.mu.Unlock()
+			if unacknowledged > 0 {
+				time.AfterFunc(unacknowledged, func() { p.giveUp(at) })
+			}
 			continue
 		}
 		news := p.news
@@ -354,13 +392,24 @@
 	mu            sync.Mutex
 	readBy        time.Time
 	writeBy       time.Time
+	userTimeout   time.Duration
 }
 
 func (c *conn) Read(b []byte) (int, error) {
 	return c.in.read(b, func() time.Time { return c.deadline(&c.readBy) })
 }
 func (c *conn) Write(b []byte) (int, error) {
-	return c.out.write(b, func() time.Time { return c.deadline(&c.writeBy) })
+	c.mu.Lock()
+	unacknowledged := c.userTimeout
+	c.mu.Unlock()
+	return c.out.write(b, func() time.Time { return c.deadline(&c.writeBy) }, unacknowledged)
+}
+
+// SetUserTimeout is the socket option of that name.
+func (c *conn) SetUserTimeout(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.userTimeout = d
 }
 
 func (c *conn) deadline(which *time.Time) time.Time {
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -71,6 +71,7 @@
 	RetryAfter string  `json:"retry_after,omitempty"` // sent with refusals, if set
 	CutAfter   int     `json:"cut_after,omitempty"`   // break streams off after so many pieces
 	IsUnnamed  bool    `json:"unnamed,omitempty"`     // refusals do not name the tenant as their ground
+	RetryIn    int     `json:"retry_in,omitempty"`    // seconds: sent with refusals as an HTTP date by this replica's clock
 	IsFailing  bool    `json:"failing,omitempty"`     // answers with an error of its own, after it ran
 }
 
@@ -258,6 +259,9 @@
 		if all.IsRefusing || own.IsUnnamed {
 			kind = "throttled"
 		}
+		if own.RetryIn > 0 {
+			w.Header().Set("Retry-After", time.Now().Add(time.Duration(own.RetryIn)*time.Second).UTC().Format(http.TimeFormat))
+		}
 		if own.RetryAfter != "" {
 			w.Header().Set("Retry-After", own.RetryAfter)
 		}
