A list of members whose settling was lost is learned by following

Cause: a core that had accepted a list, and never heard that it was settled, went on acting on the list before; its partner acted on the new one; each refused the other's messages (313) for good, and no key could be carried over. Following did not help: it adopts higher stamps only. Found by: one in some 70 runs of TestEveryCoreMachineIsReplacedByAnEmptyOneElsewhere; three live cores of four, v6 accepted by all, settled on one. Ruled out: a slow disk, a wrong owner (both other cores had accepted v6 under the same epoch). Conclusion: what a partner has settled under our very stamp is settled here too.

--- a/daemon/core.go
+++ b/daemon/core.go
@@ -285,7 +285,13 @@
 func (c *Core) catchUp(f *link.Follower) (failed int) {
 	for _, key := range f.Keys() {
 		stamp, settled := f.Stamps(key)
-		if key == router.HoldKey || !register.IsSettled(stamp, settled) || !c.keeper.Stamp(key).Less(stamp) {
+		if key == router.HoldKey || !register.IsSettled(stamp, settled) {
+			continue
+		}
+		if own := c.keeper.Stamp(key); !own.Less(stamp) {
+			if own == stamp && c.keeper.Unsettled(key) {
+				c.keeper.Settle(key, stamp) // the owner's word for it was lost
+			}
 			continue
 		}
 		held := f.Read(key)
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"asterridge/blueprint"
 	"asterridge/daemon"
 	"asterridge/fail"
+	"asterridge/register"
+	"asterridge/router"
 )
 
 // members orders a change of the list and waits until every key is carried over to it.
@@ -182,3 +186,42 @@
 		is.True(len(a.Rows) > 3)
 	})
 }
+
+// The word that a new list of members is settled is lost on its way to all others: they learn it by following, and the change goes on.
+func TestListWhoseSettlingIsLostIsLearned(t *testing.T) {
+	t.Parallel()
+	inBubble(t, options(64), func(is *is.I, f *Fleet) {
+		f.Kill(CoreIP(1))
+		time.Sleep(2 * time.Second)
+		live := []string{"core-1", "core-3", "core-4"}
+		owner := 0
+		_, _ = fmt.Sscanf(register.Draw(blueprint.MembersKey, live), "core-%d", &owner)
+		others := func(do func(from, to string)) {
+			for i := range 4 {
+				if i != owner-1 {
+					do(CoreIP(owner-1), CoreIP(i))
+				}
+			}
+		}
+		others(func(from, to string) { f.Net.Slow(from, to, 100*time.Millisecond) })
+		time.Sleep(time.Second)
+		go func() { _, _ = f.Order(owner-1, "members", daemon.MembersOrder{Do: "retire", Name: "core-2"}) }()
+		f.Until(3*time.Second, "the owner acts on the new list", func() bool {
+			a, err := f.Query(owner-1, "members")
+			return err == nil && !slices.ContainsFunc(a.Rows, func(row router.Row) bool { return row["name"] == "core-2" })
+		})
+		others(f.Net.Cut)
+		others(f.Net.Reset)
+		time.Sleep(3 * time.Second)
+		others(f.Net.Mend)
+		others(func(from, to string) { f.Net.Slow(from, to, time.Millisecond) })
+		f.Until(12*time.Second, "the keys are carried over", func() bool {
+			for i := range 4 {
+				if a, err := f.Query(i, "members"); i != 1 && (err != nil || len(a.Rows) != 3) {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
--- a/sim/network.go
+++ b/sim/network.go
@@ -121,6 +121,21 @@
 	}
 }
 
+// Reset breaks all connections between two hosts; what was under way on them is lost.
+func (n *Network) Reset(a, b string) {
+	n.mu.Lock()
+	var broken []*conn
+	for c := range n.conns {
+		if c.local == a && c.remote == b || c.local == b && c.remote == a {
+			broken = append(broken, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		c.reset()
+	}
+}
+
 // End resets every connection and lets nobody connect again.
 func (n *Network) End() {
 	n.mu.Lock()
