--- a/sim/faults_test.go
+++ b/sim/faults_test.go
@@ -18,7 +18,7 @@
 func (f *Fleet) merge(text string) (daemon.Accepted, error) {
 	var a daemon.Accepted
 	var err error
-	for core := range f.Options.Cores {
+	for _, core := range f.cores() {
 		if a, err = f.Order(core, "blueprint", daemon.BlueprintOrder{Text: json.RawMessage(text), IsPartial: true}); err == nil {
 			return a, nil
 		}
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,7 @@
 	Log                      zerolog.Logger
 	ClaimAge                 time.Duration
 	Replica                  standin.ReplicaOptions // what all replicas share
+	Names                    []string               // of the replicas: POOL-N; kinds web and store by their pool's name; none: pool-1, pool-2 …
 }
 
 // Fleet is cores, agents, proxies and stand-ins in one bubble.
@@ -48,7 +50,7 @@
 	Diary      standin.Diary
 	AgentSeeds []string // of agents started from now on
 	AgentDisks map[int]*Disk
-	lost       string                   // a core whose disk was wiped and that is not readmitted yet
+	dead       map[string]bool          // hosts that were killed and not started again
 	asked      atomic.Int64             // by hand
 	skews      map[string]time.Duration // of wall clocks, by host
 	gone       map[int]bool             // core machines that were replaced for good
@@ -70,7 +72,7 @@
 // NewFleet makes the network and the disks, and starts all daemons and stand-ins.
 func NewFleet(o FleetOptions) *Fleet {
 	f := &Fleet{Options: o, Net: NewNetwork(time.Millisecond), Replicas: map[string]*standin.Replica{}, kills: map[string]context.CancelFunc{},
-		Proxies: make([]*daemon.Proxy, o.Proxies), AgentDisks: map[int]*Disk{}, gone: map[int]bool{}, skews: map[string]time.Duration{}, AgentSeeds: []string{At(CoreIP(0)), At(CoreIP(1)), At(CoreIP(2))}}
+		Proxies: make([]*daemon.Proxy, o.Proxies), AgentDisks: map[int]*Disk{}, gone: map[int]bool{}, dead: map[string]bool{}, skews: map[string]time.Duration{}, AgentSeeds: []string{At(CoreIP(0)), At(CoreIP(1)), At(CoreIP(2))}}
 	outside := f.Net.Host(CallerIP)
 	f.Wire = link.NewWire(fleetName, outside)
 	f.Client = &http.Client{Transport: &http.Transport{DialContext: outside.DialContext, MaxIdleConnsPerHost: 256}}
@@ -94,6 +96,7 @@
 	f.mu.Lock()
 	ctx, kill := context.WithCancel(context.Background())
 	f.kills[ip] = kill
+	delete(f.dead, ip)
 	f.mu.Unlock()
 	f.running.Go(func() { run(ctx) })
 }
@@ -102,7 +105,9 @@
 func (f *Fleet) Kill(ip string) {
 	f.mu.Lock()
 	kill := f.kills[ip]
+	f.dead[ip] = true
 	f.mu.Unlock()
+	f.Net.Freeze(ip, false)
 	f.Net.Crash(ip)
 	if kill != nil {
 		kill()
@@ -144,9 +149,11 @@
 		}
 		p.Seeds = append(p.Seeds, At(CoreIP(j)))
 	}
+	f.mu.Lock()
 	if i == len(f.Disks) { // a machine that was not there before
 		f.Disks = append(f.Disks, NewDisk())
 	}
+	f.mu.Unlock()
 	core := must(daemon.NewCore(p, f.Disks[i].Open(), daemon.CoreOptions{ClaimAge: f.Options.ClaimAge}))
 	listener := must(p.Net.Listen(p.Address))
 	f.launch(CoreIP(i), func(ctx context.Context) { _ = core.Serve(ctx, listener) })
@@ -184,10 +191,27 @@
 // ReplicaName names replica i of pool "pool".
 func ReplicaName(i int) string { return fmt.Sprintf("pool-%d", i+1) }
 
+// name gives a replica's name and its pool.
+func (f *Fleet) name(i int) (name, pool string) {
+	name = ReplicaName(i)
+	if i < len(f.Options.Names) {
+		name = f.Options.Names[i]
+	}
+	pool, _, _ = strings.Cut(name, "-")
+	return name, pool
+}
+
 // StartReplica starts a stand-in replica, with the weights that it has when it comes.
 func (f *Fleet) StartReplica(i int) {
 	o := f.Options.Replica
-	o.Name = ReplicaName(i)
+	name, pool := f.name(i)
+	o.Name = name
+	if pool == "web" || pool == "store" {
+		o.Kind = pool
+	}
+	if at := slices.Index(f.Options.Names, "store-1"); at >= 0 && at != i {
+		o.Store = At(ReplicaIP(at))
+	}
 	o.Client = &http.Client{Transport: &http.Transport{DialContext: f.Net.Host(ReplicaIP(i)).DialContext}}
 	o.Ledger = func(r standin.Run) {
 		f.mu.Lock()
@@ -226,6 +250,12 @@
 	return link.Call[daemon.QueryAnswer](ctx, f.Wire, At(CoreIP(core)), "/query", daemon.Query{What: what})
 }
 
+// told is the platform's word for a replica.
+func (f *Fleet) told(i int, state string) string {
+	name, pool := f.name(i)
+	return fmt.Sprintf(`{"name":%q,"address":%q,"pool":%q,"zone":"zone-%d","limit":%d,"state":%q}`, name, At(ReplicaIP(i)), pool, i%4+1, f.Options.Replica.Limit, state)
+}
+
 // Declare waits for the fleet to be founded and gives it its blueprint, keys and replicas.
 func (f *Fleet) Declare() {
 	f.Until(10*time.Second, "a founded fleet takes the blueprint", func() bool {
@@ -237,7 +267,7 @@
 	}
 	var told []string
 	for i := range f.Options.Replicas {
-		told = append(told, fmt.Sprintf(`{"name":%q,"address":%q,"pool":"pool","zone":"zone-%d","limit":%d}`, ReplicaName(i), At(ReplicaIP(i)), i%4+1, f.Options.Replica.Limit))
+		told = append(told, f.told(i, "present"))
 	}
 	must(f.Order(0, "replicas", daemon.ReplicasOrder{Text: json.RawMessage(`{"replicas":[` + strings.Join(told, ",") + `]}`)}))
 	f.Until(10*time.Second, "all proxies are ready", f.AreReady)
@@ -295,37 +325,41 @@
 	return all
 }
 
-// Rest is called when every machine is back: service must return (rule 12), and all daemons come to hold the same (rule 11).
-func (f *Fleet) Rest(caller standin.Caller) (back []time.Duration) {
+// Rest is called when every machine is back: service must return (rule 12), operators repair what they must, and then all daemons hold
+// the same (rule 11).
+func (f *Fleet) Rest(caller standin.Caller, repair func()) (back []time.Duration) {
 	f.Diary.Add(standin.Fact{Kind: standin.Returned})
 	f.record(func(ctx context.Context, o standin.LoadOptions) {
 		ctx, stop := context.WithTimeout(ctx, 15*time.Second)
 		defer stop()
 		standin.Probe(ctx, o)
 	}, standin.LoadOptions{Callers: []standin.Caller{caller}, Prefix: "back" + fmt.Sprint(time.Now().UnixMilli())})
+	repair()
 	time.Sleep(5 * time.Second) // what was undecided is settled, and all have caught up
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.Ledgers.Rest = nil
-	for i := range f.Disks {
-		if a, err := f.Query(i, "fields"); err == nil && !f.gone[i] {
-			f.Ledgers.Rest = append(f.Ledgers.Rest, standin.States(rows(a))...)
+	var rest []standin.State
+	for _, i := range f.cores() {
+		if a, err := f.Query(i, "fields"); err == nil {
+			rest = append(rest, standin.States(rows(a))...)
 		}
 	}
-	a, _ := f.Query(f.present(), "proxyfields")
-	f.Ledgers.Rest = append(f.Ledgers.Rest, standin.States(rows(a))...)
+	a, _ := f.Query(f.cores()[0], "proxyfields")
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Ledgers.Rest = append(rest, standin.States(rows(a))...)
 	f.Ledgers.Facts = f.Diary.Facts()
 	return standin.Returns(f.Ledgers)
 }
 
-// present is a core that was not replaced.
-func (f *Fleet) present() int {
+// cores lists the machines of the core that were not replaced for good.
+func (f *Fleet) cores() (all []int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for i := range f.Disks {
 		if !f.gone[i] {
-			return i
+			all = append(all, i)
 		}
 	}
-	return 0
+	return all
 }
 
 func rows(a daemon.QueryAnswer) (all []map[string]any) {
--- a/sim/network.go
+++ b/sim/network.go
@@ -19,6 +19,7 @@
 	conns     map[*conn]bool
 	cuts      map[[2]string]time.Time // since when
 	delays    map[[2]string]time.Duration
+	frozen    map[string]bool
 	Delay     time.Duration // of every piece
 	isOver    bool          // the run has ended: nobody connects any more
 	news      chan struct{} // closed when cuts change
@@ -27,7 +28,7 @@
 // NewNetwork makes a network without faults.
 func NewNetwork(delay time.Duration) *Network {
 	return &Network{listeners: map[string]*listener{}, conns: map[*conn]bool{}, cuts: map[[2]string]time.Time{},
-		delays: map[[2]string]time.Duration{}, Delay: delay, news: make(chan struct{})}
+		delays: map[[2]string]time.Duration{}, frozen: map[string]bool{}, Delay: delay, news: make(chan struct{})}
 }
 
 func host(address string) string {
@@ -75,6 +76,28 @@
 	n.delays[[2]string{from, to}] = d
 }
 
+// Freeze stops all reading, writing, dialling and accepting of a host's processes, as of a stopped process whose kernel goes on; or
+// wakes them. What they were about to do is done on waking.
+func (n *Network) Freeze(ip string, isFrozen bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frozen[ip] = isFrozen
+	n.changed()
+}
+
+// thaw waits until a host's processes run.
+func (n *Network) thaw(ip string) {
+	for {
+		n.mu.Lock()
+		isFrozen, news := n.frozen[ip] && !n.isOver, n.news
+		n.mu.Unlock()
+		if !isFrozen {
+			return
+		}
+		<-news
+	}
+}
+
 // isCut also gives the channel that tells of changes, and the delay.
 func (n *Network) isCut(from, to string) (bool, chan struct{}, time.Duration) {
 	n.mu.Lock()
@@ -185,6 +208,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.line:
+		l.network.thaw(c.local)
 		return c, nil
 	case <-l.closed:
 		return nil, net.ErrClosed
@@ -215,6 +239,7 @@
 	n := h.network
 	failed := func(err error) error { return &net.OpError{Op: "dial", Net: "tcp", Addr: addr(address), Err: err} }
 	for {
+		n.thaw(h.IP)
 		there, thereNews, delay := n.isCut(h.IP, host(address))
 		back, _, _ := n.isCut(host(address), h.IP)
 		if !there && !back {
@@ -294,6 +319,7 @@
 
 func (p *pipe) read(b []byte, deadline func() time.Time) (int, error) {
 	for {
+		p.network.thaw(p.to)
 		isCut, mended, _ := p.network.isCut(p.from, p.to)
 		p.mu.Lock()
 		if p.isReset {
@@ -364,6 +390,7 @@
 func (p *pipe) write(b []byte, deadline func() time.Time, unacknowledged time.Duration) (int, error) {
 	sent := 0
 	for sent < len(b) {
+		p.network.thaw(p.from)
 		if end := deadline(); !end.IsZero() && !time.Now().Before(end) {
 			return sent, os.ErrDeadlineExceeded
 		}
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -72,6 +72,7 @@
 	CutAfter   int     `json:"cut_after,omitempty"`   // break streams off after so many pieces
 	IsUnnamed  bool    `json:"unnamed,omitempty"`     // refusals do not name the tenant as their ground
 	RetryIn    int     `json:"retry_in,omitempty"`    // seconds: sent with refusals as an HTTP date by this replica's clock
+	News       string  `json:"news,omitempty"`        // of what the cache keeps, for all from now on: "true", "lost" or "wrong"
 	IsFailing  bool    `json:"failing,omitempty"`     // answers with an error of its own, after it ran
 }
 
@@ -92,6 +93,7 @@
 	dropped   uint64 // changes up to this number are forgotten
 	conducts  map[string]Behaviour
 	fetch     map[string]float64 // by source's name
+	news      string
 }
 
 type change struct {
@@ -129,6 +131,9 @@
 	if b.Link > 0 {
 		r.options.Link = b.Link
 	}
+	if b.News != "" {
+		r.news = b.News
+	}
 	if b.IsEmptied {
 		r.run, r.cache, r.line, r.changes = rand.Text()[:8], map[string]*kvBlock{}, nil, nil
 	}
@@ -204,6 +209,12 @@
 			}
 		}
 	}
+	switch r.news {
+	case "lost":
+		body.Kept, body.Dropped = nil, nil
+	case "wrong": // it says to keep what it has not, and to have dropped what it keeps
+		body.Kept, body.Dropped = body.Dropped, body.Kept
+	}
 	r.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(body)
 }
