fleet: seeded random faults with real processes, and relays that cut and slow links

Daemons take -listen where that is another than -address, and call from that IP. Found: show members listed an admitted core as a stranger for three more seconds (operators' scripts retired it again, without end): mended. A data folder's own entries are synced at start, as a process before may have died between making a folder and syncing it.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -26,7 +26,7 @@
 		if err != nil {
 			return err
 		}
-		outer, err := s.Place.Net.Listen(s.Place.Address)
+		outer, err := s.Listen()
 		if err != nil {
 			return err
 		}
--- a/cmd/core/main.go
+++ b/cmd/core/main.go
@@ -23,7 +23,7 @@
 		if err != nil {
 			return err
 		}
-		listener, err := s.Place.Net.Listen(s.Place.Address)
+		listener, err := s.Listen()
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/cmd/fleet/faults.go
@@ -0,0 +1,434 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/daemon"
+	"asterridge/router"
+	"asterridge/standin"
+)
+
+// chaos brings faults about, drawn from the seed.
+type chaos struct {
+	*fleet
+	ctx    context.Context
+	random *rand.Rand
+	harmed string // a core whose disk is lost or torn and that is not made good: no second one may be
+	orders sync.WaitGroup
+	spared int
+}
+
+// fault is something that happens while the callers ask, and what undoes it. Each is a script of its own, too.
+type fault struct {
+	name, purpose string
+	isHarm        bool // costs a disk
+	do            func(c *chaos) (undo func() error, err error)
+}
+
+func nothing() error { return nil }
+
+func (c *chaos) core() int      { return c.present()[c.random.IntN(len(c.present()))] }
+func (c *chaos) pair() int      { return c.random.IntN(c.options.proxies) }
+func (c *chaos) tenant() string { return c.tenants[c.random.IntN(len(c.tenants)-1)] } // the last is left for probes
+
+// present lists the cores that were not replaced for good.
+func (c *chaos) present() (all []int) {
+	for i := range c.cores {
+		if !c.gone[i] {
+			all = append(all, i)
+		}
+	}
+	return all
+}
+
+func coreName(i int) string { return fmt.Sprintf("core-%d", i+1) }
+
+func pairNames(i int) []string {
+	return []string{fmt.Sprintf("agent-%d", i+1), fmt.Sprintf("proxy-%d", i+1)}
+}
+
+// machine draws the IP of a core or of a proxy's machine.
+func (c *chaos) machine() string {
+	if c.random.IntN(2) == 0 {
+		return ipOf(c.cores[c.core()])
+	}
+	return ipOf(c.proxies[c.pair()])
+}
+
+func (c *chaos) replica() string {
+	var names []string
+	for name := range c.replicas {
+		if !strings.HasPrefix(name, "web") && !strings.HasPrefix(name, "store") {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names[c.random.IntN(len(names))]
+}
+
+// kill ends processes at once, those that run; its undo starts them again.
+func (c *chaos) kill(s syscall.Signal, names ...string) (func() error, error) {
+	names = slices.DeleteFunc(names, func(name string) bool { return !c.runs(name) })
+	return func() error { return c.ensure(names...) }, c.end(s, names...)
+}
+
+func (c *chaos) tell(name string, order any) {
+	c.orders.Go(func() { _, _ = c.order(c.ctx, name, order) })
+}
+
+func (c *chaos) partial(format string, args ...any) {
+	c.tell("blueprint", daemon.BlueprintOrder{IsPartial: true, Text: fmt.Appendf(nil, format, args...)})
+}
+
+// wipe loses a core's disk and starts the core anew, as a stranger.
+func (c *chaos) wipe(i int) error {
+	c.harmed = coreName(i)
+	if _, err := c.kill(syscall.SIGKILL, c.harmed); err != nil {
+		return err
+	}
+	if err := os.RemoveAll(c.path(c.harmed)); err != nil {
+		return err
+	}
+	return c.ensure(c.harmed)
+}
+
+func (c *chaos) cut(from, to string) (func() error, error) {
+	c.relays.cut(from, to, true)
+	return func() error { c.relays.cut(from, to, false); return nil }, nil
+}
+
+var faults = []fault{
+	{"cut", "a machine is cut off both ways", false, func(c *chaos) (func() error, error) {
+		ip := c.machine()
+		c.relays.part(ip, true)
+		return func() error { c.relays.part(ip, false); return nil }, nil
+	}},
+	{"one-way", "a machine hears, and is not heard", false, func(c *chaos) (func() error, error) { return c.cut(c.machine(), "") }},
+	{"lost-link", "one link is broken and cut", false, func(c *chaos) (func() error, error) {
+		a, b := c.machine(), c.machine()
+		c.relays.reset(a)
+		return c.cut(a, b)
+	}},
+	{"slow-link", "one link takes 300 ms", false, func(c *chaos) (func() error, error) {
+		a, b := c.machine(), c.machine()
+		c.relays.slow(a, b, 300*time.Millisecond)
+		return func() error { c.relays.slow(a, b, 0); return nil }, nil
+	}},
+	{"cut-replica", "a proxy is cut from a replica", false, func(c *chaos) (func() error, error) {
+		return c.cut(ipOf(c.proxies[c.pair()]), ipOf(c.replicas[c.replica()]))
+	}},
+	{"split", "the core is split two and two", false, func(c *chaos) (func() error, error) {
+		all := c.present()
+		set := func(isCut bool) {
+			for n, i := range all {
+				for m, j := range all {
+					if n%2 != m%2 {
+						c.relays.cut(ipOf(c.cores[i]), ipOf(c.cores[j]), isCut)
+					}
+				}
+			}
+		}
+		set(true)
+		return func() error { set(false); return nil }, nil
+	}},
+	{"kill-core", "a core is killed", false, func(c *chaos) (func() error, error) { return c.kill(syscall.SIGKILL, coreName(c.core())) }},
+	{"kill-cores", "all cores are killed", false, func(c *chaos) (func() error, error) {
+		var names []string
+		for _, i := range c.present() {
+			names = append(names, coreName(i))
+		}
+		return c.kill(syscall.SIGKILL, names...)
+	}},
+	{"kill-pair", "an agent and its proxy are killed", false, func(c *chaos) (func() error, error) { return c.kill(syscall.SIGKILL, pairNames(c.pair())...) }},
+	{"stop-pair", "an agent and its proxy are stopped with their grace", false, func(c *chaos) (func() error, error) { return c.kill(syscall.SIGTERM, pairNames(c.pair())...) }},
+	{"kill-replica", "a replica is killed", false, func(c *chaos) (func() error, error) { return c.kill(syscall.SIGKILL, c.replica()) }},
+	{"zone", "a core, its zone's proxies and agents are killed", false, func(c *chaos) (func() error, error) {
+		i := c.core()
+		names := []string{coreName(i)}
+		for n := i % 4; n < c.options.proxies; n += 4 {
+			names = append(names, pairNames(n)...)
+		}
+		return c.kill(syscall.SIGKILL, names...)
+	}},
+	{"freeze-one", "a core, an agent or a proxy is frozen under load", false, func(c *chaos) (func() error, error) {
+		name := append(pairNames(c.pair()), coreName(c.core()))[c.random.IntN(3)]
+		if !c.runs(name) {
+			return nothing, nil
+		}
+		p := c.processes[name]
+		return func() error { return wake(p) }, p.cmd.Process.Signal(syscall.SIGSTOP)
+	}},
+	{"wipe", "a core's disk is lost in the instant after a yes", true, func(c *chaos) (func() error, error) {
+		i := c.core()
+		text := fmt.Appendf(nil, `{"tenants":[{"name":%q,"weight":%d}]}`, c.tenant(), 1+c.random.IntN(9))
+		_, _ = c.order(c.ctx, "blueprint", daemon.BlueprintOrder{IsPartial: true, Text: text}) // asked of the cores in turn: the first says yes
+		return nothing, c.wipe(i)
+	}},
+	{"torn", "a core's newest file of the blueprint is torn", true, func(c *chaos) (func() error, error) {
+		name := coreName(c.core())
+		undo, err := c.kill(syscall.SIGKILL, name)
+		if err != nil {
+			return undo, err
+		}
+		c.harmed = "torn"
+		files, err := filepath.Glob(filepath.Join(c.path(name), "kblueprint", "v.*"))
+		if err != nil || len(files) == 0 {
+			return undo, err
+		}
+		newest := files[len(files)-1]
+		info, err := os.Stat(newest)
+		if err != nil {
+			return undo, err
+		}
+		return undo, os.Truncate(newest, info.Size()/2)
+	}},
+	{"refuse-disk", "a core's disk takes no more files", false, func(c *chaos) (func() error, error) {
+		folder := c.path(coreName(c.core()))
+		if _, err := os.Stat(folder + ".away"); err == nil {
+			return nothing, nil
+		}
+		if err := os.Rename(folder, folder+".away"); err != nil {
+			return nothing, err
+		}
+		if err := os.WriteFile(folder, nil, 0o644); err != nil {
+			return nothing, err
+		}
+		return func() error {
+			if err := os.RemoveAll(folder); err != nil { // a file, or what a core made that was started meanwhile
+				return err
+			}
+			return os.Rename(folder+".away", folder)
+		}, nil
+	}},
+	{"replace", "a core machine is replaced by an empty one at a new address", true, func(c *chaos) (func() error, error) {
+		i, made := c.core(), len(c.cores)
+		if made >= 8 {
+			return nothing, nil
+		}
+		c.harmed = coreName(i)
+		if _, err := c.kill(syscall.SIGKILL, c.harmed); err != nil {
+			return nothing, err
+		}
+		c.gone[i] = true
+		c.try("retire", c.harmed)
+		if err := c.placeCore(200 + made); err != nil {
+			return nothing, err
+		}
+		if err := c.run(coreName(made), "core", c.coreArgs(made)...); err != nil {
+			return nothing, err
+		}
+		c.try("admit", coreName(made))
+		return nothing, nil
+	}},
+	{"seeds", "an agent is started with other agents as seeds", false, func(c *chaos) (func() error, error) {
+		i := c.pair()
+		name := pairNames(i)[0]
+		if _, err := c.kill(syscall.SIGKILL, name); err != nil {
+			return nothing, err
+		}
+		args := slices.Clone(c.processes[name].args)
+		seeds := args[len(args)-1]
+		args[len(args)-1] = c.agents[(i+1)%c.options.proxies] + "," + c.agents[(i+3)%c.options.proxies]
+		if err := c.run(name, "agent", args...); err != nil {
+			return nothing, err
+		}
+		args = slices.Clone(args)
+		args[len(args)-1] = seeds
+		c.processes[name].args = args // the next start has the right ones again
+		return nothing, nil
+	}},
+	{"race", "two operators race, in bursts", false, func(c *chaos) (func() error, error) {
+		for n := range 20 {
+			c.partial(`{"tenants":[{"name":%q,"weight":%d}]}`, c.tenant(), 1+n)
+		}
+		return nothing, nil
+	}},
+	{"wide", "a very large blueprint is accepted", false, func(c *chaos) (func() error, error) {
+		var more []string
+		for n := range 2000 {
+			more = append(more, fmt.Sprintf(`{"name":"visitor-%d","weight":%d,"backlog":16}`, n, 1+n%50))
+		}
+		c.partial(`{"tenants":[%s]}`, strings.Join(more, ","))
+		return nothing, nil
+	}},
+	{"storm", "six tenants are refused without a ground", false, func(c *chaos) (func() error, error) {
+		set := func(isRefusing bool) error {
+			for _, tenant := range c.tenants[:6] {
+				c.behave(standin.Behaviour{Tenant: tenant, IsRefusing: isRefusing, IsUnnamed: true})
+			}
+			return nil
+		}
+		return func() error { return set(false) }, set(true)
+	}},
+	{"cut-streams", "a tenant's streams break off", false, func(c *chaos) (func() error, error) {
+		tenant := c.tenant()
+		c.behave(standin.Behaviour{Tenant: tenant, CutAfter: 1 + c.random.IntN(5)})
+		return func() error { c.behave(standin.Behaviour{Tenant: tenant}); return nil }, nil
+	}},
+	{"news", "what replicas say of their caches is wrong", false, func(c *chaos) (func() error, error) {
+		c.behave(standin.Behaviour{News: []string{"wrong", "lost"}[c.random.IntN(2)]})
+		return func() error { c.behave(standin.Behaviour{News: "true"}); return nil }, nil
+	}},
+	{"store", "the store comes back empty", false, func(c *chaos) (func() error, error) {
+		undo, err := c.kill(syscall.SIGKILL, "store-1")
+		if err != nil {
+			return undo, err
+		}
+		return nothing, undo()
+	}},
+	{"slow-peers", "fetching from peers and the store is slower than reading anew", false, func(c *chaos) (func() error, error) {
+		c.behave(standin.Behaviour{Link: 2})
+		return func() error { c.behave(standin.Behaviour{Link: 400}); return nil }, nil
+	}},
+	{"reweigh", "other weights are accepted for a pool", false, func(c *chaos) (func() error, error) {
+		c.partial(`{"pools":[{"name":%q,"weights":"w%d"}]}`, []string{"quick", "deep"}[c.random.IntN(2)], 1+c.random.IntN(3))
+		return nothing, nil
+	}},
+	{"revoke-spare", "a tenant's second key is revoked", false, func(c *chaos) (func() error, error) {
+		tenant := c.tenant()
+		c.spared++
+		c.tell("keys", daemon.KeyOrder{Tenant: tenant, Hash: blueprint.HashKey(c.spare(tenant)), IsRevoked: true})
+		c.tell("keys", daemon.KeyOrder{Tenant: tenant, Hash: blueprint.HashKey(fmt.Sprint(tenant, c.spared))})
+		return nothing, nil
+	}},
+	{"leave", "a replica leaves and comes back", false, func(c *chaos) (func() error, error) {
+		name := c.replica()
+		set := func(state string) error {
+			pool, _, _ := strings.Cut(name, "-")
+			c.tell("replicas", daemon.ReplicasOrder{Text: fmt.Appendf(nil, `{"replicas":[{"name":%q,"address":%q,"pool":%q,"zone":"zone-1","limit":8,"state":%q}]}`,
+				name, c.replicas[name], pool, state)})
+			return nil
+		}
+		return func() error { return set("present") }, set("leaving")
+	}},
+	{"wall", "a tenant's wall is put up and taken down", false, func(c *chaos) (func() error, error) {
+		tenant := c.tenant()
+		c.partial(`{"tenants":[{"name":%q,"walled":true}]}`, tenant)
+		return func() error { c.partial(`{"tenants":[{"name":%q,"walled":false}]}`, tenant); return nil }, nil
+	}},
+}
+
+func wake(p *process) error {
+	select {
+	case <-p.ended: // killed by another fault meanwhile
+		return nil
+	default:
+		return p.cmd.Process.Signal(syscall.SIGCONT)
+	}
+}
+
+// try orders a change of the members under whatever faults there are; what does not come about is made good at the end.
+func (c *chaos) try(do, name string) {
+	for range 6 {
+		if _, err := c.order(c.ctx, "members", daemon.MembersOrder{Do: do, Name: name}); err == nil {
+			return
+		}
+		after(c.ctx, 500*time.Millisecond)
+	}
+}
+
+// scriptOf makes a script of one fault: it stands for 4 s.
+func scriptOf(made fault) script {
+	return script{made.name, made.purpose, func(ctx context.Context, f *fleet) error {
+		return newChaos(ctx, f).bring([]fault{made}, 1)
+	}}
+}
+
+func newChaos(ctx context.Context, f *fleet) *chaos {
+	return &chaos{fleet: f, ctx: ctx, random: rand.New(rand.NewPCG(f.options.seed, 9))}
+}
+
+// random brings about faults drawn from the seed, up to three at a time.
+func random(ctx context.Context, f *fleet) error { return newChaos(ctx, f).bring(faults, 12) }
+
+// bring brings about so many of the faults, undoes them all, and starts what is dead.
+func (c *chaos) bring(among []fault, count int) error {
+	type standing struct {
+		until time.Time
+		undo  func() error
+	}
+	var now []standing
+	var played []string
+	after(c.ctx, 2*time.Second)
+	for len(played) < count || len(now) > 0 {
+		if len(now) < 3 && len(played) < count {
+			pick := among[c.random.IntN(len(among))]
+			if !pick.isHarm || c.harmed == "" {
+				played = append(played, pick.name)
+				undo, err := pick.do(c)
+				if err != nil {
+					return fmt.Errorf("%s: %w", pick.name, err)
+				}
+				now = append(now, standing{time.Now().Add(time.Duration(1500+c.random.IntN(3500)) * time.Millisecond), undo})
+			}
+		}
+		after(c.ctx, time.Duration(300+c.random.IntN(900))*time.Millisecond)
+		var kept []standing
+		for _, s := range now {
+			if time.Now().Before(s.until) {
+				kept = append(kept, s)
+			} else if err := s.undo(); err != nil {
+				return err
+			}
+		}
+		now = kept
+		if c.ctx.Err() != nil {
+			return c.ctx.Err()
+		}
+	}
+	c.orders.Wait()
+	if c.isClosing {
+		if _, err := c.kill(syscall.SIGKILL, c.daemons()...); err != nil {
+			return err
+		}
+		played = append(played, "closing: all daemons killed")
+	}
+	c.note("faults: %s", strings.Join(played, ", "))
+	return c.ensure(slices.DeleteFunc(slices.Clone(c.started), func(name string) bool {
+		var i int
+		_, _ = fmt.Sscanf(name, "core-%d", &i)
+		return name == "callers" || c.gone[i-1]
+	})...)
+}
+
+// repair is what operators do when all machines are back: members that are gone are retired, strangers admitted.
+func (f *fleet) repair(ctx context.Context) error {
+	return eventually(ctx, 60*time.Second, "the members are what they should be", func() bool {
+		rows := f.query("members")
+		if len(rows) < 3 || slices.ContainsFunc(rows, func(row router.Row) bool { return row["state"] == "carrying" }) {
+			return false
+		}
+		strangers, count := map[any]bool{}, 0
+		for _, row := range rows {
+			strangers[row["name"]] = strangers[row["name"]] || row["state"] == "stranger"
+		}
+		for _, row := range rows {
+			name, _ := row["name"].(string)
+			isMember := row["state"] == "member"
+			if isMember && (strangers[name] || row["live"] != true) {
+				_, _ = f.order(ctx, "members", daemon.MembersOrder{Do: "retire", Name: name})
+				return false
+			}
+			if isMember {
+				count++
+			}
+		}
+		for name := range strangers {
+			if strangers[name] && count < 4 {
+				_, _ = f.order(ctx, "members", daemon.MembersOrder{Do: "admit", Name: name.(string)})
+				return false
+			}
+		}
+		return count == 4
+	})
+}
--- a/cmd/fleet/fleet.go
+++ b/cmd/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -42,11 +43,17 @@
 	wire      *link.Wire
 	processes map[string]*process
 	started   []string
-	cores     []string // addresses
+	cores     []string // addresses, of relays
+	listens   []string // the cores' own
 	proxies   []string
 	admins    []string
 	replicas  map[string]string // name → address
 	keys      []standin.Caller
+	relays    *relays
+	agents    []string // addresses, of relays
+	tenants   []string
+	gone      map[int]bool // cores that were replaced for good
+	isClosing bool         // a closing fault ends the run
 	mu        sync.Mutex
 	diary     standin.Diary
 	probed    []standin.Asked
@@ -81,13 +88,11 @@
 
 // start brings up cores, replicas, agents and proxies, and has the deployment's blueprint accepted.
 func start(ctx context.Context, o options) (*fleet, error) {
-	f := &fleet{options: o, wire: link.NewWire(fleetName, &link.TCP{}), processes: map[string]*process{}, replicas: map[string]string{}}
+	f := &fleet{options: o, wire: link.NewWire(fleetName, &link.TCP{}), processes: map[string]*process{}, replicas: map[string]string{}, relays: newRelays(), gone: map[int]bool{}}
 	for i := range 4 {
-		at, err := place(i)
-		if err != nil {
+		if err := f.placeCore(i); err != nil {
 			return f, err
 		}
-		f.cores = append(f.cores, at)
 	}
 	for i := range f.cores {
 		if err := f.run(fmt.Sprintf("core-%d", i+1), "core", f.coreArgs(i)...); err != nil {
@@ -112,9 +117,25 @@
 	return f, err
 }
 
+// placeCore gives a core its address, with a relay before it.
+func (f *fleet) placeCore(machine int) error {
+	listen, err := place(machine)
+	if err != nil {
+		return err
+	}
+	at, err := f.relays.open(machine, listen)
+	f.cores, f.listens = append(f.cores, at), append(f.listens, listen)
+	return err
+}
+
 func (f *fleet) coreArgs(i int) []string {
-	seeds := append(append([]string(nil), f.cores[:i]...), f.cores[i+1:]...)
-	return []string{"-name", fmt.Sprintf("core-%d", i+1), "-zone", fmt.Sprintf("zone-%d", i+1), "-fleet", fleetName, "-address", f.cores[i],
+	var seeds []string // the three before it, or the first others
+	for n := range f.cores {
+		if j := (i + 1 + n) % len(f.cores); j != i && len(seeds) < 3 {
+			seeds = append(seeds, f.cores[j])
+		}
+	}
+	return []string{"-name", fmt.Sprintf("core-%d", i+1), "-zone", fmt.Sprintf("zone-%d", i+1), "-fleet", fleetName, "-address", f.cores[i], "-listen", f.listens[i],
 		"-seeds", strings.Join(seeds, ","), "-data", filepath.Join(f.options.data, fmt.Sprintf("core-%d", i+1))}
 }
 
@@ -140,7 +161,9 @@
 		if err != nil {
 			return err
 		}
-		f.replicas[name] = at
+		if f.replicas[name], err = f.relays.open(100+i, at); err != nil {
+			return err
+		}
 		if err := f.run(name, "standin", "replica", "-name", name, "-address", at, "-kind", kind, "-store", store, "-ledger", f.path(name+".ledger")); err != nil {
 			return err
 		}
@@ -155,10 +178,15 @@
 		return err
 	}
 	zone := fmt.Sprintf("zone-%d", i%4+1)
+	outer, err := f.relays.open(4+i, at[0])
+	if err != nil {
+		return err
+	}
 	if err := f.run(fmt.Sprintf("agent-%d", i+1), "agent", "-name", fmt.Sprintf("agent-%d", i+1), "-zone", zone, "-fleet", fleetName,
-		"-address", at[0], "-local", at[1], "-seeds", strings.Join(f.cores[1:], ",")); err != nil {
+		"-address", outer, "-listen", at[0], "-local", at[1], "-seeds", strings.Join(f.cores[1:], ",")); err != nil {
 		return err
 	}
+	f.agents = append(f.agents, outer)
 	f.proxies, f.admins = append(f.proxies, at[2]), append(f.admins, at[3])
 	return f.run(fmt.Sprintf("proxy-%d", i+1), "proxy", "-name", fmt.Sprintf("proxy-%d", i+1), "-zone", zone, "-fleet", fleetName,
 		"-address", at[2], "-agent", at[1], "-admin", at[3], "-grace_ms", "3000", "-index", strconv.Itoa(f.options.index))
@@ -183,13 +211,19 @@
 		return err
 	}
 	for name, t := range plan.Tenants {
-		c := standin.Caller{Tenant: name, Access: fmt.Sprintf("%s-key-%d", name, f.options.seed), Weight: t.Weight}
-		f.keys = append(f.keys, c)
-		if _, err := f.order(ctx, "keys", daemon.KeyOrder{Tenant: name, Hash: blueprint.HashKey(c.Access)}); err != nil {
+		f.tenants = append(f.tenants, name)
+		f.keys = append(f.keys, standin.Caller{Tenant: name, Access: fmt.Sprintf("%s-key-%d", name, f.options.seed), Weight: 3 * t.Weight})
+	}
+	sort.Strings(f.tenants)
+	sort.Slice(f.keys, func(i, j int) bool { return f.keys[i].Tenant < f.keys[j].Tenant })
+	for _, name := range f.tenants {
+		f.keys = append(f.keys, standin.Caller{Tenant: name, Access: f.spare(name), Weight: 1})
+	}
+	for _, c := range f.keys {
+		if _, err := f.order(ctx, "keys", daemon.KeyOrder{Tenant: c.Tenant, Hash: blueprint.HashKey(c.Access)}); err != nil {
 			return err
 		}
 	}
-	sort.Slice(f.keys, func(i, j int) bool { return f.keys[i].Tenant < f.keys[j].Tenant })
 	var told []blueprint.Replica
 	for name, at := range f.replicas {
 		told = append(told, blueprint.Replica{Name: name, Address: at, Pool: strings.SplitN(name, "-", 2)[0], Zone: "zone-1", State: "present", Limit: 8})
@@ -212,6 +246,11 @@
 	})
 }
 
+// spare is a tenant's second key, which faults may revoke.
+func (f *fleet) spare(tenant string) string {
+	return fmt.Sprintf("%s-spare-%d", tenant, f.options.seed)
+}
+
 func (f *fleet) path(name string) string { return filepath.Join(f.options.data, name) }
 
 // run starts a program; its log goes to the data folder.
@@ -258,6 +297,20 @@
 	return nil
 }
 
+func (f *fleet) runs(name string) bool {
+	select {
+	case <-f.processes[name].ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// ensure starts those of the processes that do not run.
+func (f *fleet) ensure(names ...string) error {
+	return f.again(slices.DeleteFunc(slices.Clone(names), f.runs)...)
+}
+
 // again starts processes anew, with what they were started with.
 func (f *fleet) again(names ...string) error {
 	for _, name := range names {
@@ -377,16 +430,14 @@
 }
 
 // behave sets how replicas treat a tenant.
-func (f *fleet) behave(b standin.Behaviour) error {
+func (f *fleet) behave(b standin.Behaviour) {
 	raw, _ := json.Marshal(b)
-	for name, at := range f.replicas {
-		r, err := http.Post("http://"+at+"/control", "application/json", bytes.NewReader(raw))
-		if err != nil {
-			return fmt.Errorf("control %s: %w", name, err)
+	client := &http.Client{Timeout: time.Second}
+	for _, at := range f.replicas {
+		if r, err := client.Post("http://"+at+"/control", "application/json", bytes.NewReader(raw)); err == nil { // one that is dead forgets anyway
+			_ = r.Body.Close()
 		}
-		_ = r.Body.Close()
 	}
-	return nil
 }
 
 // play runs the callers and, meanwhile, the script.
@@ -404,12 +455,12 @@
 	if err := s.play(ctx, f); err != nil {
 		return err
 	}
+	f.probe(ctx)
 	limit := time.After(time.Duration(f.options.count/f.options.rate+90) * time.Second)
 	select {
 	case <-f.processes["callers"].ended:
 		f.noteCounts()
-		f.comeToRest(ctx)
-		return nil
+		return f.comeToRest(ctx)
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-limit:
@@ -417,22 +468,31 @@
 	}
 }
 
-// comeToRest asks every proxy until it answers whole, and then what each core and proxy holds.
-func (f *fleet) comeToRest(ctx context.Context) {
+// probe asks every proxy until it answers whole: all machines are back, and service is due.
+func (f *fleet) probe(ctx context.Context) {
 	f.diary.Add(standin.Fact{Kind: standin.Returned})
 	probing, stop := context.WithTimeout(ctx, 15*time.Second)
 	defer stop()
-	standin.Probe(probing, standin.LoadOptions{Callers: f.keys[len(f.keys)-1:], Proxies: f.proxies, Client: &http.Client{}, Prefix: "back", Deadline: time.Minute,
+	standin.Probe(probing, standin.LoadOptions{Callers: f.keys[len(f.tenants)-1:], Proxies: f.proxies, Client: &http.Client{}, Prefix: "back", Deadline: time.Minute,
 		Ledger: func(a standin.Asked) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.probed = append(f.probed, a)
 		}})
+}
+
+// comeToRest has operators repair what they must, and asks what each core and proxy then holds.
+func (f *fleet) comeToRest(ctx context.Context) error {
+	err := f.repair(ctx)
 	after(ctx, 2*time.Second) // what was undecided is settled, and all have caught up
-	for _, core := range f.cores {
+	for i, core := range f.cores {
+		if f.gone[i] {
+			continue
+		}
 		f.rest = append(f.rest, standin.States(rows(f.ask(core, "fields")))...)
 	}
 	f.rest = append(f.rest, standin.States(rows(f.query("proxyfields")))...)
+	return err
 }
 
 func rows(all []router.Row) (plain []map[string]any) {
--- a/cmd/fleet/main.go
+++ b/cmd/fleet/main.go
@@ -17,7 +17,11 @@
 	set.Usage = func() {
 		fmt.Fprintln(set.Output(), "fleet: runs a whole fleet on this machine and checks the never-rules\n\nScripts:")
 		for _, s := range scripts {
-			fmt.Fprintf(set.Output(), "  %-10s %s\n", s.name, s.purpose)
+			fmt.Fprintf(set.Output(), "  %-12s %s\n", s.name, s.purpose)
+		}
+		fmt.Fprintln(set.Output(), "\nOne fault, for some seconds:")
+		for _, made := range faults {
+			fmt.Fprintf(set.Output(), "  %-12s %s\n", made.name, made.purpose)
 		}
 		fmt.Fprintln(set.Output(), "\nFlags:")
 		set.PrintDefaults()
@@ -48,6 +52,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	f, err := start(ctx, o)
+	f.isClosing = *script == "random"
 	if err == nil {
 		err = f.play(ctx, chosen)
 	}
@@ -107,6 +112,11 @@
 			return s, nil
 		}
 	}
+	for _, made := range faults {
+		if made.name == name {
+			return scriptOf(made), nil
+		}
+	}
 	return script{}, fmt.Errorf("script: there is no %q; see fleet -h", name)
 }
 
--- a/cmd/fleet/scripts.go
+++ b/cmd/fleet/scripts.go
@@ -27,6 +27,7 @@
 	{"lose-disk", "a core is killed and its disk emptied; it is retired and admitted anew", loseDisk},
 	{"roll", "every daemon is stopped kindly and started again, one after another", rollDaemons},
 	{"throttle", "every replica refuses one tenant for four seconds", throttle},
+	{"random", "faults drawn from the seed, up to three at a time, and at the end all daemons killed", random},
 }
 
 // after waits for a moment of the script.
@@ -43,9 +44,7 @@
 func throttle(ctx context.Context, f *fleet) error {
 	after(ctx, 3*time.Second)
 	tenant := f.keys[0].Tenant
-	if err := f.behave(standin.Behaviour{Tenant: tenant, IsRefusing: true}); err != nil {
-		return err
-	}
+	f.behave(standin.Behaviour{Tenant: tenant, IsRefusing: true})
 	began := time.Now()
 	err := eventually(ctx, 15*time.Second, "all proxies hold "+tenant, func() bool {
 		holding := map[string]bool{}
@@ -61,7 +60,8 @@
 	}
 	f.note("all %d proxies hold %s %d ms after the replicas began to refuse", f.options.proxies, tenant, time.Since(began).Milliseconds())
 	after(ctx, 4*time.Second-time.Since(began))
-	return f.behave(standin.Behaviour{Tenant: tenant})
+	f.behave(standin.Behaviour{Tenant: tenant})
+	return nil
 }
 
 // stay leaves the fleet to the user.
--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -16,7 +16,7 @@
 	index := s.Whole("index", 200000, 0, 10000000, "entries of the index of kept prompts; 0: none")
 	s.Needed("name", "zone", "address", "agent", "admin")
 	daemon.Main(s, func(ctx context.Context) error {
-		callers, err := s.Place.Net.Listen(s.Place.Address)
+		callers, err := s.Listen()
 		if err != nil {
 			return err
 		}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -91,7 +91,7 @@
 		r := standin.NewReplica(standin.ReplicaOptions{Name: s.Place.Name, Kind: *kind, Weights: *weights, Limit: *limit, Rate: float64(*rate),
 			PieceMs: *piece, LoadMs: *load, WarmMs: *warm, Blocks: *blocks, Ledger: add,
 			Link: float64(*fetch), Store: *store, Client: &http.Client{}})
-		listener, err := s.Place.Net.Listen(s.Place.Address)
+		listener, err := s.Listen()
 		if err != nil {
 			return err
 		}
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -348,7 +349,8 @@
 		}
 		c.mu.Lock()
 		for _, s := range c.strangers {
-			if time.Since(s.at) < strangerTime {
+			isAdmitted := slices.ContainsFunc(c.council().members, func(m blueprint.Member) bool { return m.Incarnation == s.Incarnation })
+			if time.Since(s.at) < strangerTime && !isAdmitted {
 				a.Rows = append(a.Rows, router.Row{"name": s.Name, "address": s.Address, "zone": s.Zone, "live": true, "state": "stranger", "image": s.HasImage})
 			}
 		}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -23,13 +23,14 @@
 
 // Settings are a program's flags, which a settings file may give too; a flag beats the file.
 type Settings struct {
-	set   *flag.FlagSet
-	usage func()
-	file  *string
-	level *string
-	Place Place
-	seeds *string
-	check []func() error
+	set    *flag.FlagSet
+	usage  func()
+	file   *string
+	level  *string
+	Place  Place
+	listen string
+	seeds  *string
+	check  []func() error
 }
 
 // NewSettings has the flags that every daemon knows.
@@ -45,6 +46,7 @@
 	s.set.StringVar(&s.Place.Fleet, "fleet", "asterridge", "the fleet's `name`; messages from another fleet are refused")
 	s.set.StringVar(&s.Place.Zone, "zone", "", "the `zone` of this machine")
 	s.set.StringVar(&s.Place.Address, "address", "", "`ip:port` at which other machines reach this daemon")
+	s.set.StringVar(&s.listen, "listen", "", "`ip:port` to listen at, where that is another than -address; a daemon calls others from the IP that it listens at")
 	s.seeds = s.set.String("seeds", "", "up to three `ip:port`s of other daemons, with commas")
 	return s
 }
@@ -135,6 +137,9 @@
 	if err := checkAddress("address", s.Place.Address); err != nil {
 		return err
 	}
+	if err := checkAddress("listen", s.listen); err != nil {
+		return err
+	}
 	for _, check := range s.check {
 		if err := check(); err != nil {
 			return err
@@ -145,10 +150,24 @@
 		return bad("log", "%q is no level", *s.level)
 	}
 	s.Place.Log = Logger(os.Stderr, level).With().Str("daemon", s.Place.Name).Logger()
-	s.Place.Net = &link.TCP{}
+	network := &link.TCP{}
+	if host, _, err := net.SplitHostPort(s.listenAt()); err == nil && !net.ParseIP(host).IsUnspecified() {
+		network.LocalAddr = &net.TCPAddr{IP: net.ParseIP(host)}
+	}
+	s.Place.Net = network
 	return nil
 }
 
+func (s *Settings) listenAt() string {
+	if s.listen != "" {
+		return s.listen
+	}
+	return s.Place.Address
+}
+
+// Listen opens the port that other machines reach.
+func (s *Settings) Listen() (net.Listener, error) { return s.Place.Net.Listen(s.listenAt()) }
+
 func (s *Settings) readFile() error {
 	if *s.file == "" {
 		return nil
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -29,7 +29,7 @@
 		{good, nil}, {good, []string{"-zone", "other"}}, {"", nil}, {`{"name":`, nil}, {`{"colour":"red"}`, nil}, {`{"name":"a","name":"b"}`, nil}, {`{"name":["a"]}`, nil},
 		{good, []string{"-address", "host:7000"}}, {good, []string{"-address", "10.0.0.1:70000"}}, {good, []string{"-address", "10.0.0.1"}},
 		{good, []string{"-seeds", "1.1.1.1:1,1.1.1.2:1,1.1.1.3:1,1.1.1.4:1"}}, {good, []string{"-seeds", "here"}}, {good, []string{"-log", "loud"}},
-		{good, []string{"-slots", "0"}}, {`{"slots":"many"}`, nil}, {good, []string{"-wrong"}}, {good, []string{"more"}},
+		{good, []string{"-slots", "0"}}, {`{"slots":"many"}`, nil}, {good, []string{"-listen", "10.0.0.1"}}, {good, []string{"-wrong"}}, {good, []string{"more"}},
 	} {
 		s := NewSettings("core", "for a test")
 		slots := s.Whole("slots", 5, 1, 10, "slots")
--- a/disk/disk.go
+++ b/disk/disk.go
@@ -55,6 +55,12 @@
 	if err := os.MkdirAll(root, 0o755); err != nil {
 		return nil, fail.Wrap(err, fail.DiskFailed, "make data folder")
 	}
+	// A process before this one may have made folders and died before they were synced.
+	for _, dir := range []string{root, filepath.Dir(root)} {
+		if err := syncFolder(dir); err != nil {
+			return nil, err
+		}
+	}
 	return &Folder{Root: root}, nil
 }
 
