A tenant that is alone, or throttled with all others, is held by refusals without a ground

Cause: an unnamed refusal held only if a replica that refused the tenant was seen serving another; alone in the fleet, or when every replica refused everyone, nobody was ever held, and each refusal spent a second shot and ended in 215. Conclusion: two replicas, and nobody else served for a second.

--- a/hold/signals.go
+++ b/hold/signals.go
@@ -40,7 +40,8 @@
 }
 
 const (
-	window   = 2 * time.Second
+	window   = 10 * time.Second // refusals further apart are not seen together
+	lately   = time.Second
 	memory   = 30 * time.Second
 	needed   = 6
 	smoothed = 0.25
@@ -54,8 +55,9 @@
 		baseline: map[[2]int]*baseline{}, tenants: map[int]*slowness{}}
 }
 
-// Refused takes a refusal that does not name its ground, and says whether the tenant is it: refused at least twice and not served
-// since, while a replica that refused it serves another tenant, and has not refused that one lately.
+// Refused takes a refusal that does not name its ground, and says whether the tenant is it. Refused twice and not served since, it is, if a
+// replica that refused it serves another tenant; or if two different replicas refused it and nobody else has lately been served at all:
+// while others are served, but not by those who refuse, those may be sick.
 func (s *Signals) Refused(replica, tenant int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -74,13 +76,23 @@
 	if r.count < 2 {
 		return false
 	}
+	isAnotherServed := false
 	for at, sent := range s.served {
 		first, isRefuser := r.first[at[0]]
-		if isRefuser && at[1] != tenant && sent.After(first) && now.Sub(s.refused[at]) > window {
+		if at[1] != tenant && isRefuser && sent.After(first) && now.Sub(s.refused[at]) > window {
 			return true
 		}
+		isAnotherServed = isAnotherServed || at[1] != tenant && now.Sub(sent) < lately
 	}
-	return false
+	return len(r.first) > 1 && !isAnotherServed
+}
+
+// HasRefused says whether a replica refused the tenant, which was not served since.
+func (s *Signals) HasRefused(replica, tenant int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.refusals[tenant]
+	return r != nil && !r.first[replica].IsZero() && time.Since(r.last) < window
 }
 
 // Began takes the delay to the first piece of a request. cold is how long reading the whole prompt anew may take: a delay that this explains
@@ -89,8 +101,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.served[[2]int{replica, tenant}] = now.Add(-delay)
-	delete(s.refusals, tenant)
+	sent := now.Add(-delay)
+	s.served[[2]int{replica, tenant}] = sent
+	if r := s.refusals[tenant]; r != nil && sent.After(r.last) {
+		delete(s.refusals, tenant) // what was sent before the last refusal says nothing of it
+	}
 	at := [2]int{replica, kind}
 	b := s.baseline[at]
 	if b == nil {
--- a/router/pool.go
+++ b/router/pool.go
@@ -22,7 +22,7 @@
 	loadWeight  = 40.0
 	fetchDelay  = 5.0   // ms before the first byte of a fetched prefix
 	fetchTry    = 200.0 // bytes per ms expected of a source that was not tried yet
-	oldCost     = 400.0 // ms: a replica on old weights will be told to load at any moment
+	oldCost     = 400.0 // ms: a replica on old weights, which will be told to load at any moment, or one that has refused the tenant
 	newestWarm  = 3 * time.Second
 	coolStep    = 50 * time.Millisecond
 	coolMost    = 2 * time.Second
@@ -71,6 +71,9 @@
 		if weights != p.Weights {
 			cost += oldCost
 		}
+		if r.signals.HasRefused(rep.index, x.Tenant.index) {
+			cost += oldCost // another replica's answer tells more
+		}
 		if cost < least || best.replica == nil ||
 			cost == least && register.Weight(x.anchor(domain), rep.Name) > register.Weight(x.anchor(domain), best.replica.Name) {
 			best, least = credit{rep, weights, source}, cost
--- a/sim/signals_test.go
+++ b/sim/signals_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -71,3 +73,70 @@
 		})
 	}
 }
+
+// Refusals that name no ground: whoever is refused by replicas that serve others, or by all that it meets, is held; who meets a sick
+// replica is not, at ordinary and at low traffic, and also if it is alone.
+func TestUnnamedRefusalsHoldWhomTheyMean(t *testing.T) {
+	t.Parallel()
+	alone := []standin.Caller{{Tenant: "a", Access: "a-key", Weight: 1}}
+	refusing := standin.Behaviour{IsRefusing: true, IsUnnamed: true}
+	one := standin.Behaviour{Tenant: "a", IsRefusing: true, IsUnnamed: true}
+	cases := []struct {
+		name    string
+		callers []standin.Caller
+		conduct standin.Behaviour
+		sick    int // how many replicas behave so; 0: all
+		held    []string
+		free    []string
+	}{
+		{"alone and throttled", alone, one, 0, []string{"a"}, []string{"b", "c"}},
+		{"one of several", callers, one, 0, []string{"a"}, []string{"b", "c"}},
+		{"all throttled", callers, refusing, 0, []string{"a", "b", "c"}, nil},
+		{"one sick replica", callers, refusing, 1, nil, []string{"a", "b", "c"}},
+		{"two sick replicas", callers, refusing, 2, nil, []string{"a", "b", "c"}},
+		{"alone and one sick replica", alone, refusing, 1, nil, []string{"a", "b", "c"}},
+		{"a cold cache", callers, standin.Behaviour{IsEmptied: true}, 0, nil, []string{"a", "b", "c"}},
+	}
+	for n, c := range cases {
+		for _, rate := range []float64{40, 4} {
+			t.Run(fmt.Sprintf("%s, %.0f requests a second", c.name, rate), func(t *testing.T) {
+				t.Parallel()
+				inBubble(t, options(uint64(500+n)), func(is *is.I, f *Fleet) {
+					held := map[string]int{}
+					var load sync.WaitGroup
+					load.Go(func() { f.Load(int(rate*16), rate, c.callers, uint64(500+n)) })
+					time.Sleep(5 * time.Second)
+					i := 0
+					for _, r := range f.Replicas {
+						if i++; c.sick == 0 || i <= c.sick {
+							r.Behave(c.conduct)
+						}
+					}
+					for range 800 {
+						time.Sleep(10 * time.Millisecond)
+						for _, tenant := range f.Options.Tenants {
+							if f.holding(tenant) > 0 {
+								held[tenant]++
+							}
+						}
+					}
+					f.behave(standin.Behaviour{Tenant: c.conduct.Tenant})
+					load.Wait()
+					t.Logf("held of 8 s: a %d0 ms, b %d0 ms, c %d0 ms; refusals %d, second shots %d; %s", held["a"], held["b"], held["c"],
+						f.sum("refusals"), f.sum("second_shots"), standin.Summary(f.Ledgers.Asked))
+					for _, tenant := range c.held {
+						is.True(held[tenant] > 50)
+					}
+					for _, tenant := range c.free {
+						if c.sick > 1 && rate < 10 {
+							is.True(held[tenant] <= 100) // half the pool is sick, and proxies see a request a second: a first step of backoff may pass
+						} else {
+							is.Equal(held[tenant], 0)
+						}
+					}
+					noBreach(is, f)
+				})
+			})
+		}
+	}
+}
