Bodies have bounded room and time, and a full backlog tells when it drains

Cause: the backlog was bounded by count alone and bodies of up to 16 MiB were read before it, for as long as two minutes; a full backlog said one second. A backlog of 40 at two a second: 20 s before coming back, 50 s under a hold of 30 s; before, 1 s. Ruled out: that ReadTimeout ends streams of over two minutes (a test stays; it passed before as well); the timeout is gone all the same, as bodies have their own.

--- a/backlog/backlog.go
+++ b/backlog/backlog.go
@@ -64,13 +64,36 @@
 	weight       int
 	deficit      int
 	heldUntil    time.Time
-	released     int // grants since the hold ended
+	released     int           // grants since the hold ended
+	granted      time.Time     // the last time
+	gap          time.Duration // between two grants while others waited, smoothed
+	wasWaiting   bool          // somebody waited at the last grant
+}
+
+// drain tells when, at the pace of late, so many that wait now will have gone, after any hold.
+func (f *flow) drain(waiting int, until time.Time) time.Duration {
+	gap := f.gap
+	if idle := time.Since(f.granted); !f.granted.IsZero() && idle > gap && !time.Now().Before(until) {
+		gap = idle // it has slowed
+	}
+	return min(max(time.Duration(waiting)*gap, time.Second), drainMost) + max(0, time.Until(until))
+}
+
+// grant notes a grant's time.
+func (f *flow) grant() {
+	now := time.Now()
+	if f.wasWaiting {
+		f.gap += (now.Sub(f.granted) - f.gap) / 8
+	}
+	f.granted, f.wasWaiting = now, len(f.items) > 0
+	f.released++
 }
 
 const (
 	quantum   = 4
 	paceStep  = 100 * time.Millisecond
 	paceSteps = 8
+	drainMost = time.Minute
 	paceMost  = 5 * time.Second // a hold longer past than this is forgotten
 )
 
@@ -87,8 +110,10 @@
 	isAgain := item.place != 0
 	if !isAgain {
 		if waiting := len(f.items); waiting >= item.Limit {
+			full := fail.New(fail.BacklogFull, "%d requests wait", waiting)
+			full.Again = f.drain(waiting, b.options.HeldUntil(item.Scope))
 			b.mu.Unlock()
-			return none, fail.New(fail.BacklogFull, "%d requests wait", waiting)
+			return none, full
 		}
 		b.places++
 		item.place, item.entered = b.places, time.Now()
@@ -201,7 +226,7 @@
 		}
 		f.deficit -= item.Cost
 		f.items = f.items[1:]
-		f.released++
+		f.grant()
 		idle = 0
 		b.grants[item] = credit
 		close(item.granted)
--- a/backlog/backlog_test.go
+++ b/backlog/backlog_test.go
@@ -200,3 +200,36 @@
 		is.True(time.Since(began) >= 10*time.Second)
 	})
 }
+
+// A full backlog tells its callers when it will have gone at the pace of late, and after a hold.
+func TestFullBacklogTellsWhenItDrains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		credits, heldUntil := 1, time.Time{}
+		b := New(Options[int]{
+			Draw:   func(*Item) (int, bool) { credits--; return 0, credits >= 0 },
+			Return: func(int) {}, HeldUntil: func(string) time.Time { return heldUntil }, Turn: func(string) time.Duration { return 0 },
+		})
+		ctx, stop := context.WithCancel(context.Background())
+		for range 60 {
+			go func() { _, _ = b.Take(ctx, &Item{Weight: 1, Limit: 40, Cost: 1}) }()
+		}
+		synctest.Wait()
+		for range 30 { // two a second, and each is followed by another
+			time.Sleep(500 * time.Millisecond)
+			credits = 1
+			b.Wake(0)
+			go func() { _, _ = b.Take(ctx, &Item{Weight: 1, Limit: 40, Cost: 1}) }()
+			synctest.Wait()
+		}
+		full := func() time.Duration {
+			_, err := b.Take(ctx, &Item{Weight: 1, Limit: 40, Cost: 1})
+			is.True(fail.Is(err, fail.BacklogFull))
+			return fail.Of(err).Again.Round(time.Second)
+		}
+		is.Equal(full(), 20*time.Second) // 40 wait, two go in a second
+		heldUntil = time.Now().Add(30 * time.Second)
+		is.Equal(full(), 50*time.Second)
+		stop()
+	})
+}
--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -14,6 +14,7 @@
 	admin := s.Address("admin", "`ip:port` on loopback for queries and readiness")
 	grace := s.Whole("grace_ms", 8000, 0, 600000, "how many `ms` running streams have after a stop")
 	index := s.Whole("index", 200000, 0, 10000000, "entries of the index of kept prompts; 0: none")
+	room := s.Whole("room_mb", 256, 1, 1<<20, "`MiB` of callers' bodies held at a time; a tenant gets a quarter at most")
 	s.Needed("name", "zone", "address", "agent", "admin")
 	daemon.Main(s, func(ctx context.Context) error {
 		callers, err := s.Listen()
@@ -25,7 +26,7 @@
 			return err
 		}
 		proxy := daemon.NewProxy(s.Place, daemon.ProxyOptions{
-			Agent: *agent, Admin: *admin, Grace: time.Duration(*grace) * time.Millisecond, Seed: uint64(time.Now().UnixNano()), Index: *index,
+			Agent: *agent, Admin: *admin, Grace: time.Duration(*grace) * time.Millisecond, Seed: uint64(time.Now().UnixNano()), Index: *index, Room: int64(*room) << 20,
 		})
 		return proxy.Serve(ctx, callers, queries)
 	})
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -23,13 +23,14 @@
 	Grace time.Duration
 	Seed  uint64
 	Index int
+	Room  int64 // bytes of callers' bodies held at a time
 }
 
 // NewProxy makes a proxy.
 func NewProxy(place Place, options ProxyOptions) *Proxy {
 	return &Proxy{place: place, grace: options.Grace, Router: router.New(router.Options{
 		Name: place.Name, Zone: place.Zone, Fleet: place.Fleet, Agent: options.Agent, Admin: options.Admin,
-		Net: place.Net, Log: place.Log, Seed: options.Seed, Index: options.Index, Clock: place.Clock,
+		Net: place.Net, Log: place.Log, Seed: options.Seed, Index: options.Index, Room: options.Room, Clock: place.Clock,
 	})}
 }
 
@@ -42,7 +43,7 @@
 	mux.Handle("/", p.Router.Admin())
 	serveMetrics(mux, proxyFigures(p.Router))
 	go func() { _ = serve(running, admin, mux, time.Second) }()
-	server := &http.Server{Handler: p.Router.Handler(), ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 2 * time.Minute,
+	server := &http.Server{Handler: p.Router.Handler(), ReadHeaderTimeout: 10 * time.Second,
 		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(callers) }()
--- a/fail/fail.go
+++ b/fail/fail.go
@@ -58,6 +58,8 @@
 	SpentShots    = code(215, "spent_shots", 503, NotRun, "refused, and no second shot is left in the budget")
 	Stopping      = code(216, "stopping", 503, NotRun, "this proxy is stopping")
 	ReplicaSaid   = code(217, "replica_refused", 502, NotRun, "the replica refused the request as not run")
+	NoRoom        = code(218, "no_room", 503, NotRun, "this proxy holds as many bytes of requests as it may, or as the tenant may have")
+	TooSlow       = code(219, "too_slow", 408, NotRun, "the request's body came too slowly")
 	OutcomeLost   = code(220, "outcome_unknown", 502, Unknown, "sent, and no whole answer came back")
 	StreamCut     = code(221, "stream_cut", 502, Unknown, "the replica's answer broke off; the connection is aborted")
 	InProgress    = code(222, "key_in_progress", 409, Unknown, "a request with this key is in progress; this copy was not sent")
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -96,6 +96,7 @@
 	State        State
 	Answer       *Answer
 
+	door      *door
 	chains    map[string][]string
 	item      backlog.Item
 	replica   *replica
--- a/router/filters.go
+++ b/router/filters.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -37,7 +36,8 @@
 
 // decode makes an exchange of a caller's request; the body is read later, when its bound is known.
 func (r *Router) decode(ctx context.Context, q *http.Request) (any, error) {
-	return &Exchange{ID: ctx.Value(idName{}).(string), Request: q, Received: time.Now()}, nil
+	door := ctx.Value(doorName{}).(*door)
+	return &Exchange{ID: door.id, Request: q, Received: time.Now(), door: door}, nil
 }
 
 // Handle bounces new work while this router cannot prove that it is current, or stops.
@@ -80,12 +80,9 @@
 // Handle reads the body within bounds, and finds the path.
 func (f pathFilter) Handle(ctx context.Context, x *Exchange, onward func(context.Context, *Exchange) error) error {
 	q := x.Request
-	if q.ContentLength > maxAnyway {
-		return fail.New(fail.Oversize, "a body of %d bytes", q.ContentLength)
-	}
-	body, err := io.ReadAll(io.LimitReader(q.Body, maxAnyway+1))
+	body, err := f.r.readBody(x)
 	if err != nil {
-		return fail.Wrap(err, fail.Malformed, "read body")
+		return err
 	}
 	x.Body = body
 	if x.Prompt, err = f.r.options.Dialect.Read(body, q.URL.Path); err != nil {
@@ -220,10 +217,8 @@
 		switch {
 		case r.stopping.Load():
 			return again(fail.New(fail.Stopping, "stopped while waiting"), time.Second)
-		case fail.Is(err, fail.Held):
+		case fail.Is(err, fail.Held), fail.Is(err, fail.BacklogFull):
 			return err
-		case fail.Is(err, fail.BacklogFull):
-			return again(fail.Of(err), time.Second)
 		case ctx.Err() == context.Canceled:
 			return fail.New(fail.CallerGone, "left while waiting")
 		}
--- a/router/query.go
+++ b/router/query.go
@@ -146,7 +146,7 @@
 			}
 		}
 	case "counts":
-		row := Row{"proxy": r.options.Name, "index": r.index.Len()}
+		row := Row{"proxy": r.options.Name, "index": r.index.Len(), "room_used": r.room.held()}
 		for name, n := range r.counts.all() {
 			row[name] = n
 		}
--- /dev/null
+++ b/router/room.go
@@ -0,0 +1,107 @@
+package router
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"asterridge/fail"
+)
+
+const (
+	roomMost   = 256 << 20 // bytes of callers' bodies that a router holds, unless its options say otherwise
+	tenantPart = 4         // no tenant holds more than this part of them
+	roomStep   = 64 << 10
+	bodyLimit  = 10 * time.Second // for a body to come, and beyond that the time of its size at bodyRate
+	bodyRate   = 256 << 10        // bytes a second
+)
+
+// room is the memory for bodies, in reading, waiting or being sent (§5.3).
+type room struct {
+	mu       sync.Mutex
+	most     int64
+	used     int64
+	byTenant map[int]int64
+}
+
+// take gives room for more bytes of a tenant, if there is any.
+func (m *room) take(tenant int, n int64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.used+n > m.most || m.byTenant[tenant]+n > m.most/tenantPart {
+		return false
+	}
+	m.used += n
+	m.byTenant[tenant] += n
+	return true
+}
+
+func (m *room) give(tenant int, n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.used -= n
+	m.byTenant[tenant] -= n
+}
+
+func (m *room) held() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.used
+}
+
+// door is the caller's side of one request's connection.
+type door struct {
+	id      string
+	control *http.ResponseController
+	leave   []func() // when the request is over
+}
+
+type doorName struct{}
+
+// readBody takes a body within bounds of size, room and time.
+func (r *Router) readBody(x *Exchange) ([]byte, error) {
+	q := x.Request
+	if q.ContentLength > maxAnyway {
+		return nil, fail.New(fail.Oversize, "a body of %d bytes", q.ContentLength)
+	}
+	taken, tenant := int64(0), x.Tenant.index
+	x.door.leave = append(x.door.leave, func() { r.room.give(tenant, taken) })
+	grow := func(n int64) error {
+		if !r.room.take(tenant, n) {
+			return again(fail.New(fail.NoRoom, "no room for %d more bytes", n), time.Second)
+		}
+		taken += n
+		return nil
+	}
+	_ = x.door.control.SetReadDeadline(time.Now().Add(bodyLimit + time.Duration(max(0, q.ContentLength))*time.Second/bodyRate))
+	var body bytes.Buffer
+	if q.ContentLength > 0 {
+		if err := grow(q.ContentLength); err != nil {
+			return nil, err
+		}
+		body.Grow(int(q.ContentLength))
+	}
+	for {
+		if q.ContentLength < 0 {
+			if err := grow(roomStep); err != nil {
+				return nil, err
+			}
+		}
+		n, err := io.CopyN(&body, q.Body, roomStep)
+		switch {
+		case body.Len() > maxAnyway:
+			return nil, fail.New(fail.Oversize, "a body of over %d bytes", maxAnyway)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return nil, fail.New(fail.TooSlow, "%d bytes came in time", body.Len())
+		case err == io.EOF || err == nil && n == 0:
+			_ = x.door.control.SetReadDeadline(time.Time{}) // streams are as long as they are
+			return body.Bytes(), nil
+		case err != nil:
+			return nil, fail.Wrap(err, fail.Malformed, "read body")
+		}
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -50,6 +50,7 @@
 	Audit   int              // events kept; 0: 4096
 	Index   int              // entries of the index of kept prompts; 0: no index, the draw goes by load and by the prompt's opening
 	Admin   string           // where the agent reaches this router's queries
+	Room    int64            // bytes of callers' bodies held at a time; 0: 256 MiB
 	Clock   func() time.Time // the wall clock, for audit events and dates that a replica does not date itself; nil: the machine's
 }
 
@@ -70,6 +71,7 @@
 	audit    *audit
 	counts   counts
 	budget   budget
+	room     room
 	streaks  streaks
 	chain    handle
 	random   *lockedRandom
@@ -97,6 +99,9 @@
 	if options.Audit == 0 {
 		options.Audit = 4096
 	}
+	if options.Room == 0 {
+		options.Room = roomMost
+	}
 	if options.Clock == nil {
 		options.Clock = time.Now
 	}
@@ -111,7 +116,7 @@
 			MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
 		},
 		names: indices{map[string]int{}}, signals: hold.NewSignals(), index: prompt.NewIndex(options.Index),
-		audit: newAudit(options.Audit), counts: newCounts(), budget: budget{tokens: budgetAllowance},
+		audit: newAudit(options.Audit), counts: newCounts(), budget: budget{tokens: budgetAllowance}, room: room{most: options.Room, byTenant: map[int]int64{}},
 		run: rand.Text()[:8], streaks: streaks{byScope: map[string]int{}},
 		random:  &lockedRandom{r: mathrand.New(mathrand.NewPCG(options.Seed, h.Sum64()))},
 		reports: make(chan hold.Notice, 256), draining: make(chan struct{}),
@@ -347,13 +352,17 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.open.add(1)
 		defer r.open.add(-1)
-		w.Header().Set(idHeader, rand.Text()) // every answer bears it, bounces too
-		kit.ServeHTTP(w, q.WithContext(context.WithValue(q.Context(), idName{}, w.Header().Get(idHeader))))
+		d := &door{id: rand.Text(), control: http.NewResponseController(w)}
+		defer func() {
+			for _, leave := range d.leave {
+				leave()
+			}
+		}()
+		w.Header().Set(idHeader, d.id) // every answer bears it, bounces too
+		kit.ServeHTTP(w, q.WithContext(context.WithValue(q.Context(), doorName{}, d)))
 	})
 }
 
-type idName struct{}
-
 // Stop bounces what waits, and returns when the running streams have ended or the context has.
 func (r *Router) Stop(ctx context.Context) {
 	if r.stopping.Swap(true) {
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -29,6 +29,8 @@
 	Tenants                  []string // each gets the access key NAME-key
 	Log                      zerolog.Logger
 	ClaimAge                 time.Duration
+	Room                     int64
+	Index                    int                    // entries of the proxies' index; 0: 200000, less: none
 	Replica                  standin.ReplicaOptions // what all replicas share
 	Names                    []string               // of the replicas: POOL-N; kinds web and store by their pool's name; none: pool-1, pool-2 …
 }
@@ -175,7 +177,11 @@
 	local, outer := must(p.Net.Listen(ip+":7001")), must(p.Net.Listen(p.Address))
 	q := p
 	q.Name, q.Log = fmt.Sprintf("proxy-%d", i+1), f.Options.Log.With().Str("daemon", fmt.Sprintf("proxy-%d", i+1)).Logger()
-	proxy := daemon.NewProxy(q, daemon.ProxyOptions{Agent: ip + ":7001", Admin: ip + ":7003", Grace: time.Second, Seed: f.Options.Seed, Index: 200000})
+	index := f.Options.Index
+	if index == 0 {
+		index = 200000
+	}
+	proxy := daemon.NewProxy(q, daemon.ProxyOptions{Agent: ip + ":7001", Admin: ip + ":7003", Grace: time.Second, Seed: f.Options.Seed, Index: index, Room: f.Options.Room})
 	callers, admin := must(p.Net.Listen(ip+":7002")), must(p.Net.Listen(ip+":7003"))
 	f.mu.Lock()
 	f.Proxies[i] = proxy
