Weights roll past silent replicas, and a third at a time when gone back to

Cause: the rollout asked pools and replicas one after another, a second for each that was silent; and what made it hurry after 9 s was counted from when a pool had first been seen behind these weights ever, so weights accepted for a second time had the whole pool loading at once. Ruled out: a longer hurry (it exists for replicas that refuse to load, and must end before 12 s). Conclusion: pools and replicas are asked at once; lateness is counted anew whenever nobody is behind or the weights are others.

--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 
 	"asterridge/blueprint"
@@ -58,12 +59,13 @@
 	seat    *term.Seat
 	plain   *http.Client
 	dialect router.Dialect
-	since   map[string]time.Time // pool and weights → when this process first met them
+	mu      sync.Mutex
+	late    map[string]lateness // by pool
 }
 
 // runDuties steps this core's seats, and does the duties that it holds.
 func (c *Core) runDuties(ctx context.Context) {
-	r := &rollout{core: c, dialect: router.ChatDialect{}, since: map[string]time.Time{},
+	r := &rollout{core: c, dialect: router.ChatDialect{}, late: map[string]lateness{},
 		plain: newPlain(c.place.Net),
 		seat: term.New(term.Options{Duty: "rollout", Holder: c.place.Name + "." + c.incarnation + "." + c.whole.Run(), Length: termLength,
 			Margin: termLength / 8, Board: board{c}, Log: c.place.Log}),
@@ -77,6 +79,12 @@
 	every(ctx, rolloutStep, func() { r.step(ctx) })
 }
 
+// lateness is the weights that replicas of a pool were last seen behind, and since when without a break.
+type lateness struct {
+	weights string
+	since   time.Time
+}
+
 // step looks at each pool, and tells some replicas to load.
 func (r *rollout) step(ctx context.Context) {
 	if _, isOurs := r.seat.Holds(); !isOurs {
@@ -91,44 +99,48 @@
 	if err != nil {
 		return
 	}
+	var pools sync.WaitGroup
 	for name, pool := range plan.Pools {
 		if pool.Kind == "model" && pool.Weights != "" {
-			r.roll(ctx, name, pool.Weights, replicas, record.Stamp.Version)
+			pools.Go(func() { r.roll(ctx, name, pool.Weights, replicas, record.Stamp.Version) })
 		}
 	}
+	pools.Wait()
 }
 
+// roll tells replicas of one pool to load. All are asked at once: those that do not answer hold up nobody but this step, for a second.
 func (r *rollout) roll(ctx context.Context, pool, weights string, replicas map[string]blueprint.Replica, order uint64) {
+	var mu sync.Mutex
 	var behind []blueprint.Replica
+	var asked sync.WaitGroup
 	all, busy := 0, 0
 	for _, replica := range replicas {
 		if replica.Pool != pool || replica.State == "leaving" {
 			continue
 		}
-		short, stop := context.WithTimeout(ctx, reportLimit)
-		said, err := askReport(short, r.plain, r.dialect, replica, router.Report{})
-		stop()
-		if err != nil {
-			continue
-		}
-		all++
-		switch said.Weights {
-		case weights:
-		case router.Loading:
-			busy++
-		default:
-			behind = append(behind, replica)
-		}
-	}
-	if len(behind) == 0 {
-		return
-	}
-	at := pool + "\x00" + weights
-	if r.since[at].IsZero() {
-		r.since[at] = time.Now()
+		asked.Go(func() {
+			short, stop := context.WithTimeout(ctx, reportLimit)
+			defer stop()
+			said, err := askReport(short, r.plain, r.dialect, replica, router.Report{})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all++
+			switch said.Weights {
+			case weights:
+			case router.Loading:
+				busy++
+			default:
+				behind = append(behind, replica)
+			}
+		})
 	}
+	asked.Wait()
+	late := r.meets(pool, weights, len(behind) > 0)
 	room := max(1, all/3) - busy
-	if time.Since(r.since[at]) > rolloutHurry {
+	if late > rolloutHurry {
 		room = len(behind)
 	}
 	for _, replica := range behind[:max(0, min(room, len(behind)))] {
@@ -136,8 +148,21 @@
 		if !isOurs {
 			return
 		}
-		err := postJSON(ctx, r.plain, replica.Address+r.dialect.LoadPath(), map[string]any{"weights": weights, "order": order})
-		r.core.place.Log.Info().Str("event", "load_weights").Str("replica", replica.Name).Str("weights", weights).
-			Uint64("order", order).Uint64("term", number).AnErr("failure", err).Msg("")
+		asked.Go(func() {
+			err := postJSON(ctx, r.plain, replica.Address+r.dialect.LoadPath(), map[string]any{"weights": weights, "order": order})
+			r.core.place.Log.Info().Str("event", "load_weights").Str("replica", replica.Name).Str("weights", weights).
+				Uint64("order", order).Uint64("term", number).AnErr("failure", err).Msg("")
+		})
+	}
+	asked.Wait()
+}
+
+// meets notes whether replicas of a pool are behind these weights, and gives since when they are.
+func (r *rollout) meets(pool, weights string, isBehind bool) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now := r.late[pool]; !isBehind || now.weights != weights {
+		r.late[pool] = lateness{weights, time.Now()}
 	}
+	return time.Since(r.late[pool].since)
 }
--- a/fail/fail_test.go
+++ b/fail/fail_test.go
@@ -24,8 +24,8 @@
 	tests := testTexts(t)
 	for _, c := range Codes() {
 		isTested := "no"
-		if regexp.MustCompile(fmt.Sprintf(`"number":%d\b|\b%d %s\b|"%d"|Code == %d\b|code %d\b|fail\.%s\b`,
-			c.Number, c.Number, c.Name, c.Number, c.Number, c.Number, ident(c.Name))).MatchString(tests) {
+		if regexp.MustCompile(fmt.Sprintf(`"number":%d\b|\b%d %s\b|"%d"|Code == %d\b|code %d\b|fail\.%s\b|"\d{3} %d (no|yes|unknown)"`,
+			c.Number, c.Number, c.Name, c.Number, c.Number, c.Number, ident(c.Name), c.Number)).MatchString(tests) {
 			isTested = "yes"
 		}
 		fmt.Fprintf(&b, "| %d | `%s` | %d | %s | %s | %s |\n", c.Number, c.Name, c.Status, c.Ran, c.Text, isTested)
--- a/sim/faults_test.go
+++ b/sim/faults_test.go
@@ -11,6 +11,7 @@
 
 	"asterridge/blueprint"
 	"asterridge/daemon"
+	"asterridge/router"
 	"asterridge/standin"
 )
 
@@ -371,3 +372,61 @@
 		noBreach(is, f)
 	})
 }
+
+// Many replicas that the cores cannot reach hold up neither the others of their pool nor other pools.
+func TestWeightsRollPastManySilentReplicas(t *testing.T) {
+	t.Parallel()
+	o, callers := deployment("archive", 36)
+	inBubble(t, o, func(is *is.I, f *Fleet) {
+		cores, silent := []string{CoreIP(0), CoreIP(1), CoreIP(2), CoreIP(3)}, map[string]bool{}
+		for i := range 18 {
+			if name, pool := f.name(i); pool == "deep" && i > 1 {
+				f.Net.Part(cores, []string{ReplicaIP(i)}, true)
+				silent[name] = true
+			}
+		}
+		must(f.merge(`{"pools":[{"name":"deep","weights":"w2"},{"name":"quick","weights":"w2"}]}`))
+		rolled := f.Until(30*time.Second, "all that can be reached have the new weights", func() bool {
+			a, err := f.Query(0, "replicas")
+			for _, row := range a.Rows {
+				name := row["replica"].(string)
+				isModel := row["pool"] == "deep" || row["pool"] == "quick"
+				if isModel && !silent[name] && row["weights"] != "w2" {
+					return false
+				}
+			}
+			return err == nil
+		})
+		t.Logf("%d of 18 silent; the others have the new weights after %v", len(silent), rolled)
+		is.True(rolled < 12*time.Second)
+		f.Load(200, 40, callers, 36)
+		noBreach(is, f)
+	})
+}
+
+// Weights that are gone back to roll like new ones: a third of the pool at a time.
+func TestWeightsGoBackAThirdAtATime(t *testing.T) {
+	t.Parallel()
+	o := options(37)
+	o.Replicas = 6
+	inBubble(t, o, func(is *is.I, f *Fleet) {
+		for _, version := range []string{"w2", "w1"} {
+			must(f.merge(`{"pools":[{"name":"pool","weights":"` + version + `"}]}`))
+			most := 0
+			for range 150 {
+				time.Sleep(100 * time.Millisecond)
+				loading := map[any]bool{}
+				a, err := f.Query(0, "replicas")
+				is.NoErr(err)
+				for _, row := range a.Rows {
+					if row["weights"] == router.Loading {
+						loading[row["replica"]] = true
+					}
+				}
+				most = max(most, len(loading))
+			}
+			t.Logf("to %s: at most %d of 6 load at a time", version, most)
+			is.True(most > 0 && most <= 3) // two, and one whose end is not yet reported
+		}
+	})
+}
