The index sees prompts of up to 2 MB: fine blocks first, then coarse ones

Cause: 256 blocks of 256 bytes: all beyond 64 kB of a prompt was unseen, and sessions that differ after that looked alike. Ruled out: uniform blocks of 2 kB (the lightest kind is shorter than one). Conclusion: 64 blocks of 256 bytes, then 2 kB each. A simulated core whose empty disk is full stays down, as the program does, in place of ending the run.

--- a/cmd/fleet/fleet.go
+++ b/cmd/fleet/fleet.go
@@ -554,7 +554,7 @@
 			ran++
 			hit += r.Hit
 			fetched += r.Fetched
-			blocks += r.Blocks
+			blocks += r.Size
 		} else {
 			refused++
 		}
--- a/prompt/prompt.go
+++ b/prompt/prompt.go
@@ -13,8 +13,19 @@
 	"github.com/google/btree"
 )
 
-// BlockSize is the number of bytes of a prompt's block.
-const BlockSize = 256
+// A prompt is cut into fine blocks first and coarse ones after them: short prompts are told apart by little, and very long ones need not
+// fill the index (docs/design.md §6.1).
+const (
+	Fine       = 256
+	Coarse     = 2048
+	FineBlocks = 64
+	MostBlocks = 1024 // about 2 MB; what comes after is not looked at
+)
+
+// Covered is how many bytes of a prompt so many blocks stand for.
+func Covered(blocks int) int {
+	return min(blocks, FineBlocks)*Fine + max(0, blocks-FineBlocks)*Coarse
+}
 
 // Domain is the cache domain of a request: its wall, which is one life of a tenant's name, and the weights.
 func Domain(tenant string, born uint64, isWalled bool, weights string) string {
@@ -24,15 +35,14 @@
 	return "common@" + weights
 }
 
-// Blocks chains the hashes of a prompt's whole blocks, at most most of them.
-func Blocks(domain, text string, most int) []string {
-	count := min(len(text)/BlockSize, most)
-	chain := make([]string, 0, count)
+// Blocks chains the hashes of a prompt's whole blocks.
+func Blocks(domain, text string) []string {
+	var chain []string
 	sum := sha256.Sum256([]byte(domain))
-	for i := range count {
+	for i := 0; i < MostBlocks && Covered(i+1) <= len(text); i++ {
 		h := sha256.New()
 		h.Write(sum[:])
-		h.Write([]byte(text[i*BlockSize : (i+1)*BlockSize]))
+		h.Write([]byte(text[Covered(i):Covered(i+1)]))
 		h.Sum(sum[:0])
 		chain = append(chain, hex.EncodeToString(sum[:12]))
 	}
--- a/prompt/prompt_test.go
+++ b/prompt/prompt_test.go
@@ -10,19 +10,23 @@
 
 func TestChainsMeetOnlyWithinADomainAndUpToTheFirstDifference(t *testing.T) {
 	is := is.New(t)
-	opening := strings.Repeat("o", 4*BlockSize)
-	one := Blocks(Domain("a", 1, false, "w1"), opening+strings.Repeat("x", BlockSize), 10)
-	two := Blocks(Domain("b", 1, false, "w1"), opening+strings.Repeat("y", BlockSize)+"rest", 10)
+	opening := strings.Repeat("o", 4*Fine)
+	one := Blocks(Domain("a", 1, false, "w1"), opening+strings.Repeat("x", Fine))
+	two := Blocks(Domain("b", 1, false, "w1"), opening+strings.Repeat("y", Fine)+"rest")
 	is.Equal(len(one), 5)
 	is.Equal(one[:4], two[:4]) // the common domain
 	is.True(one[4] != two[4])
 	for _, domain := range []string{Domain("a", 1, true, "w1"), Domain("a", 1, false, "w2"), Domain("b", 1, true, "w1"), Domain("a", 2, true, "w1")} {
-		for i, block := range Blocks(domain, opening, 10) {
+		for i, block := range Blocks(domain, opening) {
 			is.True(block != one[i]) // behind a wall, or under other weights, nothing is shared
 		}
 	}
-	is.Equal(len(Blocks("d", opening, 3)), 3)
-	is.Equal(len(Blocks("d", "short", 3)), 0)
+	is.Equal(len(Blocks("d", "short")), 0)
+	long := strings.Repeat("l", 1<<20)
+	blocks := Blocks("d", long)
+	is.True(len(blocks) < 600) // fine ones, then coarse ones
+	is.True(Covered(len(blocks)) > len(long)-Coarse && Covered(len(blocks)) <= len(long))
+	is.Equal(len(Blocks("d", strings.Repeat("l", 9<<20))), MostBlocks)
 }
 
 func TestIndexIsBoundedAndCountsLeadingBlocks(t *testing.T) {
--- a/router/draw_test.go
+++ b/router/draw_test.go
@@ -15,7 +15,7 @@
 func TestFetchIsChosenByWhatWasMeasured(t *testing.T) {
 	is := is.New(t)
 	r := New(Options{Name: "p", Net: &link.TCP{}, Log: zerolog.Nop()})
-	text := make([]byte, 40*prompt.BlockSize)
+	text := make([]byte, 40*prompt.Fine)
 	x := &Exchange{Prompt: Prompt{Text: string(text)}}
 	made := func(name string, fetch map[string]float64) *replica {
 		rep := &replica{Replica: blueprint.Replica{Name: name, Address: name + ":1", State: "present", Limit: 4}, load: newLoad()}
--- a/router/pool.go
+++ b/router/pool.go
@@ -92,9 +92,10 @@
 func (r *Router) work(x *Exchange, v *View, p *pool, rep *replica, kept map[string]int) (ms float64, source string) {
 	said, has := rep.report.Load(), kept[rep.Name]
 	size := len(x.Prompt.Text)
-	ms = float64(max(0, size-has*prompt.BlockSize)) / said.rate()
+	ms = float64(size-prompt.Covered(has)) / said.rate()
 	consider := func(other *replica) {
-		more := kept[other.Name] - has
+		theirs := kept[other.Name]
+		more := prompt.Covered(theirs) - prompt.Covered(has)
 		if other.Name == rep.Name || more <= 0 || other.State == "leaving" {
 			return
 		}
@@ -102,7 +103,7 @@
 		if !isTried {
 			rate = fetchTry
 		}
-		fetched := fetchDelay + float64(more*prompt.BlockSize)/max(rate, 0.01) + float64(max(0, size-kept[other.Name]*prompt.BlockSize))/said.rate()
+		fetched := fetchDelay + float64(more)/max(rate, 0.01) + float64(size-prompt.Covered(theirs))/said.rate()
 		if fetched < ms {
 			ms, source = fetched, other.Address
 		}
@@ -163,14 +164,12 @@
 	}
 	chain, isMade := x.chains[domain]
 	if !isMade {
-		chain = prompt.Blocks(domain, x.Prompt.Text, maxBlocks)
+		chain = prompt.Blocks(domain, x.Prompt.Text)
 		x.chains[domain] = chain
 	}
 	return chain
 }
 
-const maxBlocks = 256
-
 // anchor stands for the prompt's opening, on which proxies without news agree.
 func (x *Exchange) anchor(domain string) string {
 	if chain := x.chain(domain); len(chain) > 0 {
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -156,7 +156,11 @@
 		f.Disks = append(f.Disks, NewDisk())
 	}
 	f.mu.Unlock()
-	core := must(daemon.NewCore(p, f.Disks[i].Open(), daemon.CoreOptions{ClaimAge: f.Options.ClaimAge}))
+	core, err := daemon.NewCore(p, f.Disks[i].Open(), daemon.CoreOptions{ClaimAge: f.Options.ClaimAge})
+	if err != nil {
+		f.Options.Log.Error().Str("event", "core_not_started").Err(err).Msg("")
+		return // a full disk that is empty of this core: it stays dead until somebody starts it again
+	}
 	listener := must(p.Net.Listen(p.Address))
 	f.launch(CoreIP(i), func(ctx context.Context) { _ = core.Serve(ctx, listener) })
 }
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -79,6 +79,7 @@
 	Prefix   string // makes tags unique over runs
 	Ledger   func(Asked)
 	Deadline time.Duration // of each whole request
+	Heavy    int           // bytes of the heaviest kind's prefix, in eight sessions; 0: as Kinds has it
 }
 
 var words = strings.Fields("ridge karri track creek map summit gate bridge marker valley tenor vowel stress dialect tape reel village elder song river mountain coast north west")
@@ -173,6 +174,9 @@
 	if kind.Name != "web" {
 		d = chatOf(d.Asked, kind, random.IntN(3))
 	}
+	if kind.Name == "heavy" && o.Heavy > 0 { // a third that all share, then one of eight sessions
+		d.chat.Messages[0].Content = text(o.Heavy/3, "shared") + text(2*o.Heavy/3, "session"+strconv.Itoa(random.IntN(8)))
+	}
 	return d
 }
 
--- a/standin/kv.go
+++ b/standin/kv.go
@@ -88,7 +88,7 @@
 	return json.NewDecoder(a.Body).Decode(answer)
 }
 
-// fetchBlocks gets from a source what this replica lacks of the chain, in the time that its link takes, and measures it.
+// fetchBlocks gets from a source what this replica lacks of the chain, in the time that its link takes, and measures it; it gives the bytes.
 func (r *Replica) fetchBlocks(q *http.Request, source string, chain []string) int {
 	began := time.Now()
 	var answer kvAnswer
@@ -97,12 +97,14 @@
 	}
 	r.mu.Lock()
 	var lacking []kvBlock
-	for _, b := range answer.Blocks {
+	size := 0
+	for i, b := range answer.Blocks { // the leading blocks of the chain
 		if r.cache[b.Hash] == nil {
 			lacking = append(lacking, b)
+			size += prompt.Covered(i+1) - prompt.Covered(i)
 		}
 	}
-	bytes := float64(len(lacking) * prompt.BlockSize)
+	bytes := float64(size)
 	pause := time.Duration(bytes / r.options.Link * float64(time.Millisecond))
 	r.mu.Unlock()
 	if len(lacking) == 0 || !rest(q, pause) {
@@ -120,5 +122,5 @@
 		rate = before + (rate-before)/2
 	}
 	r.fetch[answer.Name] = rate
-	return len(lacking)
+	return size
 }
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -47,12 +47,12 @@
 	Domain   string    `json:"domain"`
 	At       time.Time `json:"at"`
 	HasRun   bool      `json:"ran"`
-	Why      string    `json:"why,omitempty"` // of a refusal
-	Sum      string    `json:"sum,omitempty"` // of the whole answer
-	IsWhole  bool      `json:"whole"`         // the whole answer was written
-	Hit      int       `json:"hit"`           // blocks read from the cache
-	Blocks   int       `json:"blocks"`
-	Fetched  int       `json:"fetched,omitempty"`  // blocks got from a peer or store
+	Why      string    `json:"why,omitempty"`      // of a refusal
+	Sum      string    `json:"sum,omitempty"`      // of the whole answer
+	IsWhole  bool      `json:"whole"`              // the whole answer was written
+	Hit      int       `json:"hit"`                // bytes of the prompt read from the cache
+	Size     int       `json:"size"`               // of the prompt
+	Fetched  int       `json:"fetched,omitempty"`  // bytes got from a peer or store
 	Outdated int       `json:"outdated,omitempty"` // blocks of the cache made under other weights
 	ID       string    `json:"id,omitempty"`       // the router's id of the request
 	Salt     string    `json:"salt,omitempty"`     // of this run alone: two runs of one request write different pieces
@@ -293,7 +293,8 @@
 			parts = append(parts, m.Role, m.Content)
 		}
 		text = prompt.Text(parts...)
-		chain := prompt.Blocks(run.Domain, text, 256)
+		run.Size = len(text)
+		chain := prompt.Blocks(run.Domain, text)
 		if source := q.Header.Get("X-Prefix-From"); source != "" {
 			run.Fetched = r.fetchBlocks(q, source, chain)
 		}
@@ -314,7 +315,7 @@
 	whole := Stream(run.ID, run.Salt, run.Pieces)
 	r.options.Ledger(run) // a replica that dies in the midst has run it
 	defer func() { r.options.Ledger(run) }()
-	unread := float64(max(0, len(text)-run.Hit*prompt.BlockSize))
+	unread := float64(max(0, len(text)-run.Hit))
 	wait := unread/r.options.Rate + float64(own.SlowMs+all.SlowMs)
 	if !isWarm {
 		wait *= 3
@@ -381,14 +382,14 @@
 func (r *Replica) remember(run *Run, chain []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	run.Blocks, run.Met = len(chain), map[string]time.Time{}
+	run.Met = map[string]time.Time{}
 	isHit := true
 	var made []kvBlock
-	for _, hash := range chain {
+	for i, hash := range chain {
 		b := r.cache[hash]
 		isHit = isHit && b != nil
 		if isHit {
-			run.Hit++
+			run.Hit = prompt.Covered(i + 1)
 			if oldest, isMet := run.Met[b.Tenant]; !isMet || b.At.Before(oldest) {
 				run.Met[b.Tenant] = b.At
 			}
