Simulated fleets have a web back end, and whole answers are demanded nearly whole

Cause: a tenth of the callers' requests went to a web back end that the small plan lacked, so tests allowed 13 to 30 in a hundred to fail. The tests now demand 99, 96 and 92 in a hundred.

--- a/sim/faults_test.go
+++ b/sim/faults_test.go
@@ -43,7 +43,7 @@
 			time.Sleep(5 * time.Second)
 			must(f.merge(`{"pools":[{"name":"pool","weights":"w2"}]}`))
 		})
-		is.True(whole(all) > len(all)*85/100) // a tenth are calls of a web back end that this plan lacks
+		is.True(whole(all) >= len(all)*99/100)
 		onNew := map[string]bool{}
 		for _, r := range f.Ledgers.Runs {
 			if r.HasRun && r.Weights == "w2" {
@@ -133,7 +133,7 @@
 				})
 				t.Logf("core %d dead: longest wait for a change %v", lost+1, longest)
 				is.True(longest < 3*time.Second)
-				is.True(whole(all) > len(all)*85/100)
+				is.True(whole(all) >= len(all)*99/100)
 				noBreach(is, f)
 			})
 		})
@@ -251,7 +251,7 @@
 			f.Net.Part(ips[:1], ips[1:], false)
 			time.Sleep(3 * time.Second)
 		})
-		is.True(whole(all) > len(all)*85/100)
+		is.True(whole(all) >= len(all)*92/100)
 		noBreach(is, f)
 	})
 }
@@ -281,7 +281,7 @@
 				time.Sleep(time.Second)
 			}
 		})
-		is.True(whole(all) > len(all)*85/100)
+		is.True(whole(all) >= len(all)*99/100)
 		noBreach(is, f)
 	})
 }
@@ -368,7 +368,7 @@
 			}
 		}
 		is.True(onNew > 300)
-		is.True(whole(all) > len(all)*87/100) // a tenth are calls of a web back end that this plan lacks
+		is.True(whole(all) >= len(all)*99/100)
 		noBreach(is, f)
 	})
 }
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -87,6 +87,9 @@
 	for i := range o.Replicas {
 		f.StartReplica(i)
 	}
+	if len(o.Names) == 0 {
+		f.StartReplica(webAt)
+	}
 	for i := range o.Proxies {
 		f.StartPair(i)
 	}
@@ -201,9 +204,15 @@
 // ReplicaName names replica i of pool "pool".
 func ReplicaName(i int) string { return fmt.Sprintf("pool-%d", i+1) }
 
+// webAt is the place of a web back end beside replicas that bear no names of their own.
+const webAt = 90
+
 // name gives a replica's name and its pool.
 func (f *Fleet) name(i int) (name, pool string) {
 	name = ReplicaName(i)
+	if i == webAt {
+		name = "web-1"
+	}
 	if i < len(f.Options.Names) {
 		name = f.Options.Names[i]
 	}
@@ -279,6 +288,9 @@
 	for i := range f.Options.Replicas {
 		told = append(told, f.told(i, "present"))
 	}
+	if len(f.Options.Names) == 0 {
+		told = append(told, f.told(webAt, "present"))
+	}
 	must(f.Order(0, "replicas", daemon.ReplicasOrder{Text: json.RawMessage(`{"replicas":[` + strings.Join(told, ",") + `]}`)}))
 	f.Until(10*time.Second, "all proxies are ready", f.AreReady)
 	time.Sleep(time.Second) // replicas have reported, and the proxies know of each other
--- a/sim/fleet_test.go
+++ b/sim/fleet_test.go
@@ -15,8 +15,9 @@
 )
 
 const plan = `{"tenants":[{"name":"a","backlog":500},{"name":"b","walled":true},{"name":"c"}],
- "pools":[{"name":"pool","weights":"w1"}],
- "paths":[{"name":"light","address":"/v1/chat/completions","model":"light","pool":"pool"},
+ "pools":[{"name":"pool","weights":"w1"},{"name":"web","kind":"web"}],
+ "paths":[{"name":"pages","address":"/web/","pool":"web"},
+  {"name":"light","address":"/v1/chat/completions","model":"light","pool":"pool"},
   {"name":"middle","address":"/v1/chat/completions","model":"middle","pool":"pool","cost":2},
   {"name":"heavy","address":"/v1/chat/completions","model":"heavy","pool":"pool","cost":4}]}`
 
@@ -62,7 +63,7 @@
 	t.Parallel()
 	inBubble(t, options(1), func(is *is.I, f *Fleet) {
 		all := f.Load(300, 30, callers, 1)
-		is.True(whole(all) >= 260) // a tenth are calls of a web back end that this plan lacks
+		is.Equal(whole(all), 300)
 		noBreach(is, f)
 	})
 }
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -94,7 +94,7 @@
 			f.StartCore(0)
 			time.Sleep(2 * time.Second)
 		})
-		is.True(whole(all) > len(all)*70/100)
+		is.True(whole(all) >= len(all)*96/100)
 		noBreach(is, f)
 	})
 }
@@ -117,7 +117,7 @@
 				}
 			}
 		})
-		is.True(whole(all) > len(all)*75/100)
+		is.True(whole(all) >= len(all)*96/100)
 		a, err := f.Query(5, "tenants")
 		is.NoErr(err)
 		names := map[any]any{}
--- a/sim/traffic_test.go
+++ b/sim/traffic_test.go
@@ -146,7 +146,7 @@
 				time.Sleep(2 * time.Second)
 			}
 		})
-		is.True(whole(all) > len(all)*70/100) // callers do not look for another proxy: what goes to a stopped one is lost
+		is.True(whole(all) >= len(all)*92/100) // callers do not look for another proxy: what goes to a stopped one is lost
 		for _, a := range all {
 			is.True(a.Status == 0 || a.Status == 200 && a.IsEnded || a.Code > 0) // no stream was broken off
 		}
