Proxies learn how much to borrow, and give nobody up below capacity

Cause: shares add up to a replica's slots, but each proxy borrowed up to three quarters by a report that is old by several requests, all by the same one: at 600 a second of some 850 possible 576 of 4800 requests met two full replicas and were given up (215). Ruled out: a fixed smaller part (a quarter: 4 given up, but a lone busy proxy then gets half); no borrowing (0 given up, but 211 whole of 600 a second when all callers ask one proxy, 483 with). Conclusion: a refusal for want of a slot halves the part, an answer adds a hundredth.

--- a/router/dialect.go
+++ b/router/dialect.go
@@ -25,6 +25,7 @@
 	IsTenant bool // it names the tenant as its ground
 	IsPushed bool // it is a throttle: refused for load or rate
 	IsMoved  bool // other weights, or leaving: draw again
+	IsFull   bool // no slot was free
 	Reason   string
 }
 
@@ -121,7 +122,7 @@
 	case r.StatusCode == 412 && body.Error.Type == "weights_mismatch":
 		v.IsNotRun, v.IsMoved = true, true
 	case r.StatusCode == 503 && (body.Error.Type == "overloaded" || body.Error.Type == "leaving" || body.Error.Type == "warming"):
-		v.IsNotRun, v.IsMoved = true, true
+		v.IsNotRun, v.IsMoved, v.IsFull = true, true, body.Error.Type == "overloaded"
 	default:
 		return Verdict{IsServed: true} // not a refusal known as not run: it is the replica's own answer
 	}
--- a/router/pool.go
+++ b/router/pool.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"sync"
 	"time"
 
 	"asterridge/backlog"
@@ -17,7 +18,8 @@
 
 const (
 	reportAge   = 1500 * time.Millisecond
-	borrowPart  = 0.75
+	borrowMost  = 0.75 // of a replica's slots may be taken by its report, beyond one's own share
+	borrowStep  = 0.01
 	defaultRate = 4.0 // bytes of prompt per ms, until a replica tells
 	loadWeight  = 40.0
 	fetchDelay  = 5.0   // ms before the first byte of a fetched prefix
@@ -151,7 +153,30 @@
 		return true
 	}
 	said := rep.report.Load()
-	return float64(said.Running)+float64(rep.sent.Load())+1 <= borrowPart*float64(rep.Limit)
+	return float64(said.Running)+float64(rep.sent.Load())+1 <= r.borrow.part()*float64(rep.Limit)
+}
+
+// borrowing is the part of a replica's slots up to which this proxy goes beyond its share. Reports are old by the time of several requests,
+// and all proxies look at the same ones: who meets a full replica halves its part, and each answer gives a little back.
+type borrowing struct {
+	mu  sync.Mutex
+	now float64
+}
+
+func (b *borrowing) part() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.now
+}
+
+func (b *borrowing) learn(isFull bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if isFull {
+		b.now /= 2
+	} else {
+		b.now = min(b.now+borrowStep, borrowMost)
+	}
 }
 
 // giveBack returns a credit.
--- a/router/router.go
+++ b/router/router.go
@@ -72,6 +72,7 @@
 	counts   counts
 	budget   budget
 	room     room
+	borrow   borrowing
 	streaks  streaks
 	chain    handle
 	random   *lockedRandom
--- a/router/send.go
+++ b/router/send.go
@@ -224,6 +224,9 @@
 	if v.IsMoved {
 		r.cool(x.replica)
 	}
+	if v.IsFull {
+		r.borrow.learn(true)
+	}
 	if !v.IsNotRun {
 		x.isSent = true
 		return fail.New(fail.OutcomeLost, "%s refused: %s", x.replica.Name, v.Reason)
@@ -242,6 +245,7 @@
 // began feeds the delay of the first piece to the signals.
 func (r *Router) began(x *Exchange, delay time.Duration) {
 	x.replica.bad.Store(0)
+	r.borrow.learn(false)
 	said := x.replica.report.Load()
 	if said == nil || !said.IsWarm {
 		return // slow for everyone
--- a/sim/load_test.go
+++ b/sim/load_test.go
@@ -48,15 +48,15 @@
 	if *isLarge {
 		rates, shape = []float64{100, 200, 300, 400, 600, 900}, func() (FleetOptions, []standin.Caller) { return deployment("archive", 130) }
 	}
-	settings := []struct {
+	type setting struct {
 		name      string
 		index     int
 		isObserve bool
-	}{{"", 0, false}}
+		isSkewed  bool // all callers ask one proxy
+	}
+	settings := []setting{{}}
 	if *isLarge {
-		settings = append(settings, settings[0], settings[0])
-		settings[1].name, settings[1].index = ", no index", -1
-		settings[2].name, settings[2].isObserve = ", no hold", true
+		settings = append(settings, setting{name: ", no index", index: -1}, setting{name: ", no hold", isObserve: true}, setting{name: ", at one proxy", isSkewed: true})
 	}
 	for _, set := range settings {
 		t.Run("load"+set.name, func(t *testing.T) {
@@ -73,6 +73,9 @@
 						_, _ = f.Order(0, "keys", daemon.KeyOrder{Tenant: tenant, Hash: blueprint.HashKey(tenant + "-spare")})
 					}
 					span := 8 * time.Second
+					if set.isSkewed {
+						f.Proxies = f.Proxies[:1]
+					}
 					all := f.Load(int(rate*span.Seconds()), rate, callers, 130)
 					last := all[0].At.Add(span)
 					good, tenants, firsts := 0, map[string][2]int{}, map[string][]int64{}
@@ -111,3 +114,18 @@
 		})
 	}
 }
+
+// Proxies that all go by the same old reports do not crowd a replica for long: each learns to borrow less, and nobody is given up below
+// capacity.
+func TestProxiesLearnHowMuchToBorrow(t *testing.T) {
+	t.Parallel()
+	o := options(131)
+	o.Proxies, o.Replica.Limit = 8, 8
+	inBubble(t, o, func(is *is.I, f *Fleet) {
+		all := f.Load(2000, 350, callers, 131) // of some 500 that are possible
+		t.Logf("%s; second shots %d", standin.Summary(all), f.sum("second_shots"))
+		is.True(whole(all) >= len(all)*997/1000)
+		is.True(f.sum("second_shots") < 50) // 69 when each borrows as the reports allow
+		noBreach(is, f)
+	})
+}
