A change whose answer was lost is undecided, whatever the second attempt says

Cause: a core that was asked for a change passes it to the key's owner; if the owner's answer is lost it tries itself, and bounced with that attempt's code: 301 no_majority, nothing was changed, though the owner had made the change. Ruled out: a lost yes; the register had one order of changes, and the diary held a change for not made. An embedded router with a policy of its own is tested beside an agent.

--- a/daemon/core.go
+++ b/daemon/core.go
@@ -205,13 +205,20 @@
 		defer stop()
 		answer, err := link.Call[A](short, c.wire, c.addressOf(owner), "/own/"+name, q)
 		var dial *net.OpError
-		if fail.Is(err, fail.Unreachable) {
-			if isIdempotent || errors.As(err, &dial) && dial.Op == "dial" {
-				return do(ctx, q)
+		isUnasked := errors.As(err, &dial) && dial.Op == "dial"
+		switch {
+		case err == nil || !fail.Is(err, fail.Unreachable):
+			return answer, err
+		case isUnasked:
+			return do(ctx, q)
+		case isIdempotent:
+			again, failure := do(ctx, q)
+			if failure != nil && fail.Of(failure).Code.Ran == fail.NotRun {
+				failure = fail.New(fail.Undecided, "the owner %s did not answer: %v; then here: %v", owner, err, failure) // it may have taken it
 			}
-			return none, fail.New(fail.Undecided, "the owner %s did not answer: %v", owner, err)
+			return again, failure
 		}
-		return answer, err
+		return none, fail.New(fail.Undecided, "the owner %s did not answer: %v", owner, err)
 	}))
 }
 
--- a/sim/exchange_test.go
+++ b/sim/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -14,9 +15,12 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"asterridge/blueprint"
 	"asterridge/daemon"
+	"asterridge/fail"
+	"asterridge/router"
 	"asterridge/standin"
 	"asterridge/transcript"
 )
@@ -162,3 +166,50 @@
 		is.Equal(e.requests.Load(), int64(2))
 	})
 }
+
+// small is a policy of a program's own.
+type small struct{ most int }
+
+func (s small) Handle(ctx context.Context, x *router.Exchange, onward func(context.Context, *router.Exchange) error) error {
+	if len(x.Body) > s.most {
+		return fail.New(fail.Oversize, "%d bytes, at most %d here", len(x.Body), s.most)
+	}
+	return onward(ctx, x)
+}
+
+// A program of somebody's own embeds the router beside an agent, with a policy of its own: the policy decides, and all else is as in the proxy.
+func TestEmbeddedRouterWithAPolicyOfItsOwn(t *testing.T) {
+	t.Parallel()
+	inBubble(t, options(5), func(is *is.I, f *Fleet) {
+		host := f.Net.Host(ProxyIP(0))
+		own := router.New(router.Options{Name: "own", Zone: "zone-1", Fleet: fleetName, Agent: ProxyIP(0) + ":7001", Admin: ProxyIP(0) + ":7004",
+			Net: host, Log: zerolog.Nop(), Index: 1000, Filters: []router.Filter{small{300}}})
+		ctx, stop := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { own.Run(ctx) })
+		server := &http.Server{Handler: own.Handler()}
+		listener := must(host.Listen(ProxyIP(0) + ":7005"))
+		running.Go(func() { _ = server.Serve(listener) })
+		f.Until(5*time.Second, "the embedded router is ready", own.IsReady)
+		ask := func(body string) string {
+			q := must(http.NewRequest(http.MethodPost, "http://"+ProxyIP(0)+":7005"+chatAddress, strings.NewReader(body)))
+			q.Header.Set("Authorization", "Bearer a-key")
+			q.Header.Set("X-Caller-Tag", fmt.Sprint("embedded ", len(body)))
+			answer := must(f.Client.Do(q))
+			defer answer.Body.Close()
+			_, err := io.Copy(io.Discard, answer.Body)
+			is.NoErr(err)
+			return fmt.Sprint(answer.StatusCode, " ", answer.Header.Get("X-Result-Code"), " ", answer.Header.Get("X-Ran"))
+		}
+		is.Equal(ask(chat("light")), "200  ")
+		is.Equal(ask(strings.Replace(chat("light"), "where", strings.Repeat("where ", 100), 1)), "413 106 no")
+		f.behave(standin.Behaviour{Tenant: "a", IsRefusing: true, RetryAfter: "50"})
+		f.Ask(1, "a", "", chat("light"))
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(ask(chat("light")), "429 210 no") // it holds whom the fleet holds
+		stop()
+		_ = server.Close()
+		running.Wait()
+		noBreach(is, f)
+	})
+}
--- a/sim/faults_test.go
+++ b/sim/faults_test.go
@@ -11,6 +11,8 @@
 
 	"asterridge/blueprint"
 	"asterridge/daemon"
+	"asterridge/fail"
+	"asterridge/register"
 	"asterridge/router"
 	"asterridge/standin"
 )
@@ -430,3 +432,33 @@
 		}
 	})
 }
+
+// An owner takes a change and its answer is lost; the core that was asked then finds no majority. It may not say "nothing was changed".
+func TestChangeWhoseAnswerWasLostIsUndecided(t *testing.T) {
+	t.Parallel()
+	inBubble(t, options(38), func(is *is.I, f *Fleet) {
+		owner := 0
+		_, _ = fmt.Sscanf(register.Draw(blueprint.ReplicasKey, []string{"core-1", "core-2", "core-3", "core-4"}), "core-%d", &owner)
+		asked := owner % 4 // the next one
+		f.Net.Cut(CoreIP(owner-1), CoreIP(asked))
+		var ordering sync.WaitGroup
+		ordering.Go(func() {
+			_, err := f.Order(asked, "replicas", daemon.ReplicasOrder{Text: json.RawMessage(`{"replicas":[{"name":"pool-1","state":"leaving"}]}`)})
+			is.True(err != nil)
+			is.Equal(fail.Of(err).Code, fail.Undecided)
+		})
+		time.Sleep(time.Second)
+		for i := range 4 {
+			f.Net.Part([]string{CoreIP(asked)}, []string{CoreIP(i)}, true)
+		}
+		ordering.Wait()
+		for i := range 4 {
+			f.Net.Part([]string{CoreIP(asked)}, []string{CoreIP(i)}, false)
+		}
+		f.Rest(callers[2], func() {})
+		for _, fact := range f.Diary.Facts() {
+			is.True(fact.Kind != standin.Leaving || fact.IsTried)
+		}
+		noBreach(is, f, 11, 12)
+	})
+}
