--- a/cmd/fleet/faults.go
+++ b/cmd/fleet/faults.go
@@ -86,6 +86,14 @@
 	c.orders.Go(func() { _, _ = c.order(c.ctx, name, order) })
 }
 
+// say is the platform's word on a replica; its words come one after another.
+func (c *chaos) say(name, state string) {
+	pool, _, _ := strings.Cut(name, "-")
+	c.orders.Wait()
+	c.tell("replicas", daemon.ReplicasOrder{Text: fmt.Appendf(nil, `{"replicas":[{"name":%q,"address":%q,"pool":%q,"zone":"zone-1","limit":8,"state":%q}]}`,
+		name, c.replicas[name], pool, state)})
+}
+
 func (c *chaos) partial(format string, args ...any) {
 	c.tell("blueprint", daemon.BlueprintOrder{IsPartial: true, Text: fmt.Appendf(nil, format, args...)})
 }
@@ -303,13 +311,34 @@
 	}},
 	{"leave", "a replica leaves and comes back", false, func(c *chaos) (func() error, error) {
 		name := c.replica()
-		set := func(state string) error {
-			pool, _, _ := strings.Cut(name, "-")
-			c.tell("replicas", daemon.ReplicasOrder{Text: fmt.Appendf(nil, `{"replicas":[{"name":%q,"address":%q,"pool":%q,"zone":"zone-1","limit":8,"state":%q}]}`,
-				name, c.replicas[name], pool, state)})
-			return nil
+		c.say(name, "leaving")
+		return func() error { c.say(name, "present"); return nil }, nil
+	}},
+	{"pool", "replicas are replaced: new ones come and warm up, old ones leave and end", false, func(c *chaos) (func() error, error) {
+		var old, made []string
+		for n := range 2 {
+			old = append(old, c.replica())
+			pool, _, _ := strings.Cut(old[n], "-")
+			made = append(made, fmt.Sprintf("%s-%d", pool, 100+len(c.replicas)))
+			if err := c.startReplica(made[n], "model", 150+len(c.replicas)); err != nil {
+				return nothing, err
+			}
+			c.say(made[n], "warming")
 		}
-		return func() error { return set("present") }, set("leaving")
+		return func() error {
+			for n, name := range old {
+				c.say(made[n], "present")
+				c.say(name, "leaving")
+			}
+			after(c.ctx, 3*time.Second)
+			for _, name := range old {
+				if _, err := c.kill(syscall.SIGKILL, name); err != nil {
+					return err
+				}
+				c.say(name, "gone")
+			}
+			return nil
+		}, nil
 	}},
 	{"wall", "a tenant's wall is put up and taken down", false, func(c *chaos) (func() error, error) {
 		tenant := c.tenant()
--- a/cmd/fleet/fleet.go
+++ b/cmd/fleet/fleet.go
@@ -157,20 +157,25 @@
 		case i < o.replicas/3:
 			name = fmt.Sprintf("quick-%d", i+1)
 		}
-		at, err := place(100 + i)
-		if err != nil {
-			return err
-		}
-		if f.replicas[name], err = f.relays.open(100+i, at); err != nil {
-			return err
-		}
-		if err := f.run(name, "standin", "replica", "-name", name, "-address", at, "-kind", kind, "-store", store, "-ledger", f.path(name+".ledger")); err != nil {
+		if err := f.startReplica(name, kind, 100+i); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// startReplica starts a stand-in behind a relay.
+func (f *fleet) startReplica(name, kind string, machine int) error {
+	listen, err := place(machine)
+	if err != nil {
+		return err
+	}
+	if f.replicas[name], err = f.relays.open(machine, listen); err != nil {
+		return err
+	}
+	return f.run(name, "standin", "replica", "-name", name, "-address", listen, "-kind", kind, "-store", f.replicas["store-1"], "-ledger", f.path(name+".ledger"))
+}
+
 // startPair starts a machine's agent and proxy.
 func (f *fleet) startPair(i int) error {
 	at, err := f.places(4+i, 4)
--- a/cmd/shell/main.go
+++ b/cmd/shell/main.go
@@ -220,7 +220,12 @@
 func cells(row router.Row, columns []string) string {
 	all := make([]string, len(columns))
 	for i, name := range columns {
-		if value, isThere := row[name]; isThere {
+		switch value := row[name].(type) {
+		case nil:
+		case map[string]any, []any:
+			raw, _ := json.Marshal(value) // it came as JSON
+			all[i] = string(raw)
+		default:
 			all[i] = fmt.Sprint(value)
 		}
 	}
--- a/sim/load_test.go
+++ b/sim/load_test.go
@@ -104,6 +104,10 @@
 					}
 					t.Logf("%.0f a second offered%s: %.0f whole a second within the span; first piece p50/p99 ms %v; of each tenant's whole in the span %v; first shots %d, second %d; %s",
 						rate, set.name, goodputs[i], delays, shares, f.sum("first_shots"), f.sum("second_shots"), standin.Summary(all))
+					if i == len(rates)-1 && !*isLarge { // a asks as much as b and c together, with the same weight
+						part := func(tenant string) float64 { return float64(tenants[tenant][0]) / float64(tenants[tenant][1]) }
+						is.True(part("b") > 1.3*part("a") && part("c") > 1.3*part("a"))
+					}
 					noBreach(is, f)
 				})
 			}
