A simulated core that starts on a stalled disk holds up only itself

The harness's fault; a real core waits alone. It starts in a goroutine of its own now, and a start that fails leaves the machine down.

--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -159,13 +159,25 @@
 		f.Disks = append(f.Disks, NewDisk())
 	}
 	f.mu.Unlock()
-	core, err := daemon.NewCore(p, f.Disks[i].Open(), daemon.CoreOptions{ClaimAge: f.Options.ClaimAge})
-	if err != nil {
-		f.Options.Log.Error().Str("event", "core_not_started").Err(err).Msg("")
-		return // a full disk that is empty of this core: it stays dead until somebody starts it again
-	}
-	listener := must(p.Net.Listen(p.Address))
-	f.launch(CoreIP(i), func(ctx context.Context) { _ = core.Serve(ctx, listener) })
+	d := f.Disks[i].Open()
+	f.launch(CoreIP(i), func(ctx context.Context) {
+		core, err := daemon.NewCore(p, d, daemon.CoreOptions{ClaimAge: f.Options.ClaimAge}) // waits while the disk stalls
+		if err != nil {
+			f.Options.Log.Error().Str("event", "core_not_started").Err(err).Msg("")
+			f.mu.Lock()
+			f.dead[CoreIP(i)] = true // a full disk that is empty of this core: until somebody starts it again
+			f.mu.Unlock()
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		listener, err := p.Net.Listen(p.Address)
+		if err != nil {
+			return // another start was quicker
+		}
+		_ = core.Serve(ctx, listener)
+	})
 }
 
 // StartPair starts a machine's agent and proxy.
