--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -39,17 +39,18 @@
 	ring    *ring.Ring
 	disk    disk.Disk // may be nil: then what was learned of the cores is lost with the process
 
-	mu        sync.Mutex
-	members   []blueprint.Member
-	prior     []blueprint.Member        // the list before, while keys are carried over from it
-	links     map[string]*link.Follower // by core's address
-	applied   map[string]register.Stamp
-	undecided map[string]doubt
-	until     time.Time // current until then, as last worked out
-	why       string
-	proxies   register.Fields
-	replicas  map[string]context.CancelFunc
-	watched   map[string]blueprint.Replica
+	mu            sync.Mutex
+	members       []blueprint.Member
+	prior         []blueprint.Member        // the list before, while keys are carried over from it
+	links         map[string]*link.Follower // by core's address
+	applied       map[string]register.Stamp
+	undecided     map[string]doubt
+	until         time.Time // current until then, as last worked out
+	why           string
+	isSaidCurrent bool // as the log has it
+	proxies       register.Fields
+	replicas      map[string]context.CancelFunc
+	watched       map[string]blueprint.Replica
 }
 
 // doubt is a version seen that may be accepted, and since when it counts.
@@ -277,7 +278,8 @@
 			}
 		}
 	}
-	if isCurrent := now.Before(until); isCurrent != wasCurrent {
+	if isCurrent := now.Before(until); isCurrent != a.isSaidCurrent { // a term that has run out is told too
+		a.isSaidCurrent = isCurrent
 		a.place.Log.Info().Str("event", "currency").Bool("is_current", isCurrent).Str("why", why).Msg("")
 	}
 	a.until, a.why = until, why
--- a/router/router.go
+++ b/router/router.go
@@ -56,32 +56,33 @@
 
 // Router is one data plane process's state.
 type Router struct {
-	options  Options
-	log      zerolog.Logger
-	wire     *link.Wire
-	upstream *http.Transport
-	follower *link.Follower
-	names    indices
-	view     atomic.Pointer[View]
-	current  atomic.Pointer[time.Time] // vouched for until then
-	table    *hold.Table
-	signals  *hold.Signals
-	index    *prompt.Index
-	backlog  *backlog.Backlog[credit]
-	audit    *audit
-	counts   counts
-	budget   budget
-	room     room
-	borrow   borrowing
-	streaks  streaks
-	chain    handle
-	random   *lockedRandom
-	run      string // this life of the process
-	marks    atomic.Uint64
-	reports  chan hold.Notice
-	stopping atomic.Bool
-	open     running
-	draining chan struct{}
+	options     Options
+	log         zerolog.Logger
+	wire        *link.Wire
+	upstream    *http.Transport
+	follower    *link.Follower
+	names       indices
+	view        atomic.Pointer[View]
+	current     atomic.Pointer[time.Time] // vouched for until then
+	table       *hold.Table
+	signals     *hold.Signals
+	index       *prompt.Index
+	backlog     *backlog.Backlog[credit]
+	audit       *audit
+	counts      counts
+	budget      budget
+	room        room
+	borrow      borrowing
+	streaks     streaks
+	chain       handle
+	random      *lockedRandom
+	run         string // this life of the process
+	marks       atomic.Uint64
+	reports     chan hold.Notice
+	stopping    atomic.Bool
+	saidCurrent atomic.Bool // as the log has it
+	open        running
+	draining    chan struct{}
 }
 
 type lockedRandom struct {
@@ -167,6 +168,7 @@
 }
 
 func (r *Router) ask() link.Ask {
+	r.noteCurrency()
 	status := Status{Proxy: r.options.Name, Run: r.run, Zone: r.options.Zone, Admin: r.options.Admin, IsCurrent: r.IsCurrent(),
 		IsStop: r.stopping.Load(), Counts: r.counts.all()}
 	raw, _ := json.Marshal(status) // a plain struct always encodes
@@ -255,14 +257,21 @@
 	if remaining <= 0 {
 		until = time.Time{}
 	}
-	wasCurrent := r.IsCurrent()
 	r.current.Store(&until)
-	if isCurrent := r.IsCurrent(); isCurrent != wasCurrent {
-		r.log.Info().Str("event", "currency").Bool("is_current", isCurrent).Msg("")
+	if r.noteCurrency() {
 		r.backlog.WakeAll()
 	}
 }
 
+// noteCurrency logs when the router becomes current, or has ceased to be.
+func (r *Router) noteCurrency() (isChanged bool) {
+	isCurrent := r.IsCurrent()
+	if isChanged = r.saidCurrent.Swap(isCurrent) != isCurrent; isChanged {
+		r.log.Info().Str("event", "currency").Bool("is_current", isCurrent).Msg("")
+	}
+	return isChanged
+}
+
 // IsCurrent says whether this router can prove that it knows every accepted change.
 func (r *Router) IsCurrent() bool {
 	until := r.current.Load()
