A caller's headers no longer speak for the router to a replica

Found by: reading the send as a hostile caller would. TestCallersCannotSpeakForTheRouter: X-Prefix-From came through before, not after. Conclusion: the dialect takes away its own words before it says them.

--- a/router/dialect.go
+++ b/router/dialect.go
@@ -86,6 +86,9 @@
 
 // Dress puts the router's words to the replica on a request.
 func (ChatDialect) Dress(h http.Header, x *Exchange, domain, weights, source string) {
+	for _, ours := range []string{domainHeader, weightsHeader, sourceHeader} {
+		h.Del(ours) // a caller does not say them for us
+	}
 	h.Set(idHeader, x.ID)
 	h.Set(tenantHeader, x.Tenant.Name)
 	key := x.Key
--- a/sim/exchange_test.go
+++ b/sim/exchange_test.go
@@ -213,3 +213,48 @@
 		noBreach(is, f)
 	})
 }
+
+// attentive notes the headers that come.
+type attentive struct {
+	mu   sync.Mutex
+	last http.Header
+}
+
+func (a *attentive) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	if q.URL.Path == "/report" {
+		fmt.Fprintf(w, `{"run":"a","number":%d,"weights":"w1","warm":true,"rate":100}`, time.Now().UnixMilli())
+		return
+	}
+	_, _ = io.Copy(io.Discard, q.Body)
+	a.mu.Lock()
+	a.last = q.Header
+	a.mu.Unlock()
+	w.Header().Set("X-Request-Id", q.Header.Get("X-Request-Id"))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = io.WriteString(w, `{}`)
+}
+
+// What the router says to replicas callers cannot say for it: not where to fetch a prefix from, nor for whom, nor under which id.
+func TestCallersCannotSpeakForTheRouter(t *testing.T) {
+	t.Parallel()
+	inBubble(t, options(6), func(is *is.I, f *Fleet) {
+		a := &attentive{}
+		defer f.replaceReplicas(a)()
+		q := must(http.NewRequest(http.MethodPost, "http://"+ProxyAddress(0)+chatAddress, strings.NewReader(chat("light"))))
+		q.Header.Set("Authorization", "Bearer b-key")
+		for _, name := range []string{"X-Request-Id", "X-Tenant", "X-Cache-Domain", "X-Expect-Weights", "X-Prefix-From"} {
+			q.Header.Set(name, "mine")
+		}
+		answer := must(f.Client.Do(q))
+		_ = answer.Body.Close()
+		is.Equal(answer.StatusCode, 200)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		is.Equal(a.last.Get("X-Tenant"), "b")
+		is.Equal(a.last.Get("X-Expect-Weights"), "w1")
+		is.True(strings.HasPrefix(a.last.Get("X-Cache-Domain"), "tenant:b."))
+		is.Equal(a.last.Get("X-Request-Id"), answer.Header.Get("X-Request-Id"))
+		is.Equal(a.last.Get("X-Prefix-From"), "")
+		is.Equal(a.last.Get("Authorization"), "") // an access key does not go further than here
+	})
+}
