A request that waited goes by the path and tenant as they are when it is sent

Now: each round of a request is led anew by the present view, and the look at the write compares tenant and path as wholes. Ruled out: moving what waits between queues when a view changes (it is led anew when its turn comes; until then it uses nothing).

--- a/router/filters.go
+++ b/router/filters.go
@@ -88,8 +88,8 @@
 	if x.Prompt, err = f.r.options.Dialect.Read(body, q.URL.Path); err != nil {
 		return err
 	}
-	if x.Path = x.View.find(q.URL.Path, x.Prompt.Model); x.Path == nil {
-		return fail.New(fail.NoPath, "no path for %s and model %q", q.URL.Path, x.Prompt.Model)
+	if err := x.lead(x.View); err != nil {
+		return err
 	}
 	if len(body) > x.Path.MaxBody {
 		return fail.New(fail.Oversize, "%d bytes, at most %d", len(body), x.Path.MaxBody)
@@ -98,13 +98,6 @@
 	if len(x.Key) > 256 {
 		return fail.New(fail.Oversize, "an idempotency key of %d bytes", len(x.Key))
 	}
-	x.IsRepeatable = x.Path.IsRepeatable
-	switch q.Header.Get("X-Repeatable") {
-	case "yes":
-		x.IsRepeatable = true
-	case "no":
-		x.IsRepeatable = false
-	}
 	wait := time.Duration(x.Path.DeadlineMs) * time.Millisecond
 	if text := q.Header.Get("X-Deadline-Ms"); text != "" {
 		ms, err := strconv.Atoi(text)
@@ -114,13 +107,33 @@
 		wait = min(wait, time.Duration(ms)*time.Millisecond)
 	}
 	x.Deadline = x.Received.Add(wait)
-	x.item.Tenant, x.item.Pool, x.item.Cost = x.Tenant.index, x.Path.pool.index, x.Path.Cost
-	x.item.Deadline = x.Deadline
-	x.item.Weight, x.item.Limit, x.item.Body = x.Tenant.Weight, x.Tenant.Backlog, x
-	x.item.Scope = hold.Scope(x.Tenant.Name, x.Path.Pool, x.Tenant.Scope == "pool")
+	x.item.Deadline, x.item.Body = x.Deadline, x
 	return onward(ctx, x)
 }
 
+// lead takes a view's word for what becomes of the request: its tenant, path, pool and place among others. A request that waited is led anew.
+func (x *Exchange) lead(v *View) error {
+	t := v.access[x.Access]
+	if t == nil || x.Tenant != nil && (t.Name != x.Tenant.Name || t.Born != x.Tenant.Born) {
+		return fail.New(fail.BadKey, "the key was revoked while the request waited")
+	}
+	p := v.find(x.Request.URL.Path, x.Prompt.Model)
+	if p == nil {
+		return fail.New(fail.NoPath, "no path for %s and model %q", x.Request.URL.Path, x.Prompt.Model)
+	}
+	x.View, x.Tenant, x.Path, x.IsRepeatable = v, t, p, p.IsRepeatable
+	switch x.Request.Header.Get("X-Repeatable") {
+	case "yes":
+		x.IsRepeatable = true
+	case "no":
+		x.IsRepeatable = false
+	}
+	x.item.Tenant, x.item.Pool, x.item.Cost = t.index, p.pool.index, p.Cost
+	x.item.Weight, x.item.Limit = t.Weight, t.Backlog
+	x.item.Scope = hold.Scope(t.Name, p.Pool, t.Scope == "pool")
+	return nil
+}
+
 // errRedraw sends a request back to the backlog: nothing was sent, the replica it was given will not do.
 var errRedraw = errors.New("draw another replica")
 
@@ -148,10 +161,13 @@
 
 func (r *Router) shoot(ctx context.Context, x *Exchange, onward handle) error {
 	for {
+		if err := x.lead(r.view.Load()); err != nil {
+			return err
+		}
 		if err := r.heldTooLong(x); err != nil {
 			return err
 		}
-		if p := r.view.Load().pools[x.Path.Pool]; p == nil || !p.isStaffed() {
+		if !x.Path.pool.isStaffed() {
 			return again(fail.New(fail.NoReplica, "pool %s has no replica that stays", x.Path.Pool), time.Second)
 		}
 		err := onward(ctx, x)
--- a/router/send.go
+++ b/router/send.go
@@ -21,21 +21,17 @@
 		return nil, err
 	}
 	v := r.view.Load()
-	t := v.access[x.Access]
-	if t == nil || t.Name != x.Tenant.Name || t.Born != x.Tenant.Born {
-		return nil, fail.New(fail.BadKey, "the key was revoked while the request waited")
-	}
-	p, rep := v.pools[x.Path.Pool], v.replicas[x.replica.Name]
-	if p == nil {
-		return nil, fail.New(fail.NoPath, "the path's pool is gone")
+	t, p, rep := v.access[x.Access], v.find(x.Request.URL.Path, x.Prompt.Model), v.replicas[x.replica.Name]
+	if t == nil || p == nil || t.Tenant != x.Tenant.Tenant || p.Path != x.Path.Path {
+		return nil, errRedraw // led anew, it is sent by what holds now, or bounced
 	}
 	if until := r.table.Until(x.item.Scope); !until.IsZero() {
 		return nil, errRedraw
 	}
-	if rep == nil || rep.Address != x.replica.Address || t.IsWalled != x.Tenant.IsWalled {
+	if rep == nil || rep.Address != x.replica.Address {
 		return nil, errRedraw
 	}
-	if weights, isFit := r.mayServe(p, rep, time.Now()); !isFit || weights != x.weights {
+	if weights, isFit := r.mayServe(p.pool, rep, time.Now()); !isFit || weights != x.weights {
 		return nil, errRedraw
 	}
 	return v, nil
@@ -44,9 +40,6 @@
 // Handle sends the request to its replica and waits for the first piece of the answer.
 func (f sendFilter) Handle(_ context.Context, x *Exchange, _ func(context.Context, *Exchange) error) error {
 	r, rep := f.r, x.replica
-	if v := r.view.Load(); v.access[x.Access] != nil && v.access[x.Access].Name == x.Tenant.Name && v.access[x.Access].Born == x.Tenant.Born {
-		x.Tenant = v.access[x.Access] // its wall may have been put up or taken down while the request waited
-	}
 	domain := prompt.Domain(x.Tenant.Name, x.Tenant.Born, x.Tenant.IsWalled, x.weights)
 	if _, err := r.recheck(x); err != nil {
 		return err
--- a/sim/send_test.go
+++ b/sim/send_test.go
@@ -157,3 +157,29 @@
 		})
 	}
 }
+
+// A path that is led to another pool, or made not repeatable, while a request waits: the request goes by the path as it is when it is sent.
+func TestPathMovedWhileWorkWaits(t *testing.T) {
+	t.Parallel()
+	inBubble(t, options(99), func(is *is.I, f *Fleet) {
+		f.behave(standin.Behaviour{Tenant: "a", IsRefusing: true, RetryAfter: "5"})
+		var waiting sync.WaitGroup
+		waiting.Go(func() {
+			status, code, _ := f.Ask(0, "a", "", chat("light"))
+			is.Equal(status, 503)
+			is.Equal(code, "213") // the pool that it is led to now has no replica
+		})
+		time.Sleep(time.Second)
+		f.behave(standin.Behaviour{Tenant: "a"})
+		must(f.merge(`{"pools":[{"name":"other","weights":"w1"}],"paths":[{"name":"light","pool":"other"}]}`))
+		waiting.Wait()
+		for _, r := range f.Ledgers.Runs {
+			is.True(!r.HasRun)
+		}
+		must(f.merge(`{"remove":{"paths":["light"]}}`))
+		time.Sleep(time.Second)
+		_, code, _ := f.Ask(0, "a", "", chat("light"))
+		is.Equal(code, "201")
+		noBreach(is, f)
+	})
+}
