A core that knew a list of members as settled knows it after a restart, and tells

Cause: that a list is settled is on the disk of who learned it, but after a restart only the list was taken from there: the core acted on the new list, its links went on saying unsettled, and the others, whom the word had not reached, acted on the old one. Neither had a majority: 301 for good. Measured: TestListWhoseSettlingIsLostIsLearned, its owner killed and started again: not within 12 s before, passes after. Conclusion: the record counts as settled again when the disk says that its version was.

--- a/daemon/members.go
+++ b/daemon/members.go
@@ -90,6 +90,8 @@
 			if prior != nil {
 				now.members = prior
 			}
+		} else {
+			c.keeper.Settle(blueprint.MembersKey, record.Stamp) // known before this life: the others are to learn it from here
 		}
 	}
 	old := c.council()
--- a/sim/members_test.go
+++ b/sim/members_test.go
@@ -189,6 +189,12 @@
 
 // The word that a new list of members is settled is lost on its way to all others: they learn it by following, and the change goes on.
 func TestListWhoseSettlingIsLostIsLearned(t *testing.T) {
+	t.Parallel()
+	t.Run("the owner goes on", func(t *testing.T) { loseSettling(t, false) })
+	t.Run("the owner is killed and starts again", func(t *testing.T) { loseSettling(t, true) })
+}
+
+func loseSettling(t *testing.T, isKilled bool) {
 	t.Parallel()
 	inBubble(t, options(64), func(is *is.I, f *Fleet) {
 		f.Kill(CoreIP(1))
@@ -213,6 +219,9 @@
 		others(f.Net.Cut)
 		others(f.Net.Reset)
 		time.Sleep(3 * time.Second)
+		if isKilled {
+			f.StartCore(owner - 1)
+		}
 		others(f.Net.Mend)
 		others(func(from, to string) { f.Net.Slow(from, to, time.Millisecond) })
 		f.Until(12*time.Second, "the keys are carried over", func() bool {
