--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -56,15 +56,3 @@
 		}
 	}
 }
-
-// rest waits, or gives the context's error if it ends before.
-func rest(ctx context.Context, d time.Duration) error {
-	schedule := time.NewTimer(d)
-	defer schedule.Stop()
-	select {
-	case <-schedule.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -106,7 +106,7 @@
 		return 0, err
 	}
 	for c.keeper.Stamp(blueprint.Key).Less(newest.Stamp) {
-		if err := rest(short, beatTime/10); err != nil {
+		if err := link.Pause(short, beatTime/10); err != nil {
 			return 0, fail.Wrap(err, fail.Behind, "the blueprint")
 		}
 	}
--- a/link/follower.go
+++ b/link/follower.go
@@ -71,12 +71,7 @@
 		if f.step(ctx) == nil {
 			continue
 		}
-		schedule := time.NewTimer(pause)
-		select {
-		case <-schedule.C:
-		case <-ctx.Done():
-			schedule.Stop()
-		}
+		_ = Pause(ctx, pause) // the loop looks at the context
 	}
 }
 
--- a/link/wire.go
+++ b/link/wire.go
@@ -184,3 +184,15 @@
 	}
 	return answer.(A), nil
 }
+
+// Pause waits, or gives the context's error if it ends before.
+func Pause(ctx context.Context, d time.Duration) error {
+	schedule := time.NewTimer(d)
+	defer schedule.Stop()
+	select {
+	case <-schedule.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -332,21 +332,12 @@
 				if err == nil {
 					break
 				}
-				pause(ctx, 100*time.Millisecond)
+				_ = link.Pause(ctx, 100*time.Millisecond) // the loop looks at the context
 			}
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	schedule := time.NewTimer(d)
-	defer schedule.Stop()
-	select {
-	case <-schedule.C:
-	case <-ctx.Done():
-	}
-}
-
 // Handler serves the callers, through a go-kit endpoint.
 func (r *Router) Handler() http.Handler {
 	serve := func(ctx context.Context, request any) (any, error) {
