--- a/blueprint/blueprint.go
+++ b/blueprint/blueprint.go
@@ -2,7 +2,8 @@
 
 import (
 	"encoding/json"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 
 	"asterridge/fail"
@@ -23,6 +24,9 @@
 	Backlog  int    `json:"backlog"`        // how many requests may wait in one proxy
 	Scope    string `json:"scope"`          // "tenant" or "pool": what a hold covers
 	Born     uint64 `json:"born,omitempty"` // the blueprint's version that created it: a name given anew is another tenant (§6.3)
+	// Keys are hashes of access keys that are declared with the tenant; others are granted one by one (§2.1).
+	Keys    []string `json:"keys,omitempty"`
+	Urgency *int     `json:"urgency,omitempty"` // goes before the path's
 }
 
 // Pool is a set of replicas that serve the same weights, or a web back end.
@@ -30,6 +34,15 @@
 	Name    string `json:"name"`
 	Kind    string `json:"kind"`    // "model", "web", or "store": a store of kept prompts
 	Weights string `json:"weights"` // the accepted version; empty for web
+	// Models are served by the pool's replicas, each with a version of its own that operators name (§2.9); none: Weights speaks for all.
+	Models     []string `json:"models,omitempty"`
+	MaxConns   int      `json:"max_conns,omitempty"`   // connections that one replica takes from all callers; 0: any number
+	CacheSize  int      `json:"cache_size,omitempty"`  // what one replica or store keeps of prompts
+	UnitBytes  int      `json:"unit_bytes,omitempty"`  // memory of one unit of a prompt
+	LinkMbps   float64  `json:"link_mbps,omitempty"`   // of one replica or store, for moves of kept prompts
+	MaxReaders int      `json:"max_readers,omitempty"` // that may wait for a replica's news at once; 0: nobody reads them
+	Address    string   `json:"address,omitempty"`     // of a store that is on no list
+	Zone       string   `json:"zone,omitempty"`        // of such a store
 }
 
 // Path leads requests to a pool.
@@ -42,6 +55,37 @@
 	DeadlineMs   int    `json:"deadline_ms"` // how long a request may wait for its first piece
 	MaxBody      int    `json:"max_body"`
 	Cost         int    `json:"cost"` // in the round robin
+
+	Host        string   `json:"host,omitempty"`      // the host asked for; empty matches any
+	Targets     []Target `json:"targets,omitempty"`   // a split over pools, in place of Pool
+	Tries       int      `json:"tries,omitempty"`     // replicas that one request may be sent to; 0: no bound but the budget
+	AimMs       int      `json:"aim_ms,omitempty"`    // the first piece is wanted within it
+	GapMs       int      `json:"gap_ms,omitempty"`    // no longer pause is wanted between pieces
+	Urgency     int      `json:"urgency,omitempty"`   // 0 goes first
+	IsResumable bool     `json:"resumable,omitempty"` // a stream that broke off may go on at another replica (§5.7)
+	IsPublic    bool     `json:"public,omitempty"`    // needs no access key
+}
+
+// Target is a pool with its share of a path's requests.
+type Target struct {
+	Pool  string `json:"pool"`
+	Share int    `json:"share"`
+}
+
+// Pools are the pools that a path may lead to.
+func (p Path) Pools() []Target {
+	if len(p.Targets) > 0 {
+		return p.Targets
+	}
+	return []Target{{p.Pool, 1}}
+}
+
+// Limits bound what callers send; 0: the program's own bound.
+type Limits struct {
+	HeaderBytes int `json:"header_bytes,omitempty"`
+	BodyBytes   int `json:"body_bytes,omitempty"`
+	HeaderMs    int `json:"header_ms,omitempty"`
+	IdleMs      int `json:"idle_ms,omitempty"`
 }
 
 // Hold has the settings of the shared waiting rule.
@@ -59,6 +103,7 @@
 	Pools   map[string]Pool
 	Paths   map[string]Path
 	Hold    Hold
+	Limits  Limits
 }
 
 // Empty is a blueprint with the default hold.
@@ -84,6 +129,8 @@
 			err = load(b.Paths, rest, raw)
 		case "hold":
 			err = json.Unmarshal(raw, &b.Hold)
+		case "limits":
+			err = json.Unmarshal(raw, &b.Limits)
 		}
 		if err != nil {
 			return nil, fail.Wrap(err, fail.Malformed, "register field "+name)
@@ -129,6 +176,9 @@
 		put("path/"+name, p)
 	}
 	put("hold", b.Hold)
+	if b.Limits != (Limits{}) {
+		put("limits", b.Limits)
+	}
 	return fields
 }
 
@@ -148,36 +198,55 @@
 	return change
 }
 
-// Check looks for dangling references.
+// Check looks for dangling references, and for what cannot stand side by side.
 func (b *Blueprint) Check() error {
-	names := make([]string, 0, len(b.Paths))
-	for name := range b.Paths {
-		names = append(names, name)
-	}
-	sort.Strings(names)
 	met := map[string]string{}
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(b.Paths)) {
 		p := b.Paths[name]
-		bounce := func(c fail.Code, field, format string, args ...any) error {
+		refuse := func(c fail.Code, field, format string, args ...any) error {
 			f := fail.New(c, format, args...)
 			f.Field = "paths." + name + "." + field
 			return f
 		}
-		if _, isThere := b.Pools[p.Pool]; !isThere {
-			return bounce(fail.Dangling, "pool", "there is no pool %q", p.Pool)
+		sum := 0
+		for _, target := range p.Pools() {
+			if _, isThere := b.Pools[target.Pool]; !isThere {
+				return refuse(fail.Dangling, "pool", "there is no pool %q", target.Pool)
+			}
+			if b.Pools[target.Pool].Kind == "store" {
+				return refuse(fail.Dangling, "pool", "pool %q is a store and serves no requests", target.Pool)
+			}
+			if target.Share < 0 {
+				return refuse(fail.OutOfRange, "targets", "pool %q has a share below 0", target.Pool)
+			}
+			sum += target.Share
+		}
+		if sum == 0 {
+			return refuse(fail.OutOfRange, "targets", "the shares sum to 0")
 		}
-		if b.Pools[p.Pool].Kind == "store" {
-			return bounce(fail.Dangling, "pool", "pool %q is a store and serves no requests", p.Pool)
+		if p.DeadlineMs <= 0 {
+			return refuse(fail.OutOfRange, "deadline_ms", "%d ms are no deadline", p.DeadlineMs)
 		}
 		if p.Address == "" {
-			return bounce(fail.Missing, "address", "a path needs an address")
+			return refuse(fail.Missing, "address", "a path needs an address")
 		}
-		at := p.Address + " " + p.Model
+		at := p.Host + " " + p.Address + " " + p.Model
 		if other, isTaken := met[at]; isTaken {
-			return bounce(fail.RepeatField, "address", "path %q has the same address and model", other)
+			return refuse(fail.RepeatField, "address", "path %q has the same host, address and model", other)
 		}
 		met[at] = name
 	}
+	owners := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(b.Tenants)) {
+		for _, key := range b.Tenants[name].Keys {
+			if other, isTaken := owners[key]; isTaken && other != name {
+				f := fail.New(fail.RepeatField, "tenant %q has the same key", other)
+				f.Field = "tenants." + name + ".keys"
+				return f
+			}
+			owners[key] = name
+		}
+	}
 	return nil
 }
 
@@ -186,7 +255,7 @@
 	if len(text) > MaxText {
 		return nil, fail.New(fail.Oversize, "%d bytes, at most %d", len(text), MaxText)
 	}
-	doc, err := document(text)
+	doc, err := Document(text)
 	if err != nil {
 		return nil, err
 	}
@@ -201,9 +270,9 @@
 		for name, p := range base.Paths {
 			b.Paths[name] = p
 		}
-		b.Hold = base.Hold
+		b.Hold, b.Limits = base.Hold, base.Limits
 	}
-	err = doc.object(func(name string, v value) error {
+	err = doc.Object(func(name string, v Value) error {
 		switch name {
 		case "tenants":
 			return items(v, b.Tenants, Tenant{Weight: 1, Backlog: 256, Scope: "tenant"}, readTenant)
@@ -213,12 +282,14 @@
 			return items(v, b.Paths, Path{DeadlineMs: 30000, MaxBody: 1 << 20, Cost: 1}, readPath)
 		case "hold":
 			return readHold(v, &b.Hold)
+		case "limits":
+			return readLimits(v, &b.Limits)
 		case "remove":
 			if isPartial {
 				return remove(v, b)
 			}
 		}
-		return v.bounce(fail.UnknownField, "not a field of a blueprint")
+		return v.Refuse(fail.UnknownField, "not a field of a blueprint")
 	})
 	if err == nil {
 		err = b.Check()
@@ -230,15 +301,15 @@
 }
 
 // items reads a list of named things; one that is there already is changed field by field.
-func items[T any](v value, into map[string]T, fresh T, read func(item *T, name string, field value) error) error {
+func items[T any](v Value, into map[string]T, fresh T, read func(item *T, name string, field Value) error) error {
 	met := map[string]bool{}
-	return v.list(func(entry value) error {
+	return v.List(func(entry Value) error {
 		name := ""
-		err := entry.object(func(field string, v value) (err error) {
+		err := entry.Object(func(field string, v Value) (err error) {
 			if field == "name" {
-				name, err = v.name()
+				name, err = v.Name()
 				if err == nil && met[name] {
-					err = v.bounce(fail.RepeatField, "%q stands twice in the list", name)
+					err = v.Refuse(fail.RepeatField, "%q stands twice in the list", name)
 				}
 			}
 			return err
@@ -247,14 +318,14 @@
 			return err
 		}
 		if name == "" {
-			return entry.bounce(fail.Missing, "needs a name")
+			return entry.Refuse(fail.Missing, "needs a name")
 		}
 		met[name] = true
 		item, isThere := into[name]
 		if !isThere {
 			item = fresh
 		}
-		if err := entry.object(func(field string, v value) error { return read(&item, field, v) }); err != nil {
+		if err := entry.Object(func(field string, v Value) error { return read(&item, field, v) }); err != nil {
 			return err
 		}
 		into[name] = item
@@ -262,10 +333,10 @@
 	})
 }
 
-func remove(v value, b *Blueprint) error {
-	return v.object(func(kind string, list value) error {
-		return list.list(func(item value) error {
-			name, err := item.name()
+func remove(v Value, b *Blueprint) error {
+	return v.Object(func(kind string, list Value) error {
+		return list.List(func(item Value) error {
+			name, err := item.Name()
 			if err != nil {
 				return err
 			}
@@ -281,10 +352,10 @@
 				_, isThere = b.Paths[name]
 				delete(b.Paths, name)
 			default:
-				return list.bounce(fail.UnknownField, "nothing of this kind can be removed")
+				return list.Refuse(fail.UnknownField, "nothing of this kind can be removed")
 			}
 			if !isThere {
-				return item.bounce(fail.Dangling, "there is no %q to remove", name)
+				return item.Refuse(fail.Dangling, "there is no %q to remove", name)
 			}
 			return nil
 		})
@@ -299,84 +370,142 @@
 	return err
 }
 
-func between(v value, least, most int) func() (int, error) {
-	return func() (int, error) { return v.whole(least, most) }
+func between(v Value, least, most int) func() (int, error) {
+	return func() (int, error) { return v.Whole(least, most) }
 }
 
-func word(v value, words ...string) func() (string, error) {
-	return func() (string, error) { return v.oneOf(words...) }
+func word(v Value, words ...string) func() (string, error) {
+	return func() (string, error) { return v.OneOf(words...) }
 }
 
-func readTenant(t *Tenant, field string, v value) error {
+func readTenant(t *Tenant, field string, v Value) error {
 	switch field {
 	case "name":
-		return set(&t.Name, v.name)
+		return set(&t.Name, v.Name)
 	case "walled":
-		return set(&t.IsWalled, v.flag)
+		return set(&t.IsWalled, v.Flag)
 	case "weight":
 		return set(&t.Weight, between(v, 1, 100))
 	case "backlog":
 		return set(&t.Backlog, between(v, 0, 100000))
 	case "scope":
 		return set(&t.Scope, word(v, "tenant", "pool"))
+	case "urgency":
+		t.Urgency = new(int)
+		return set(t.Urgency, between(v, 0, 9))
 	}
-	return v.bounce(fail.UnknownField, "not a field of a tenant")
+	return v.Refuse(fail.UnknownField, "not a field of a tenant")
 }
 
-func readPool(p *Pool, field string, v value) error {
+func readPool(p *Pool, field string, v Value) error {
 	switch field {
 	case "name":
-		return set(&p.Name, v.name)
+		return set(&p.Name, v.Name)
 	case "kind":
 		return set(&p.Kind, word(v, "model", "web", "store"))
 	case "weights":
-		return set(&p.Weights, v.name)
+		return set(&p.Weights, v.Name)
+	case "models":
+		p.Models = nil
+		return v.List(func(item Value) error {
+			name, err := item.Name()
+			p.Models = append(p.Models, name)
+			return err
+		})
+	case "max_conns":
+		return set(&p.MaxConns, between(v, 0, 1000000))
 	}
-	return v.bounce(fail.UnknownField, "not a field of a pool")
+	return v.Refuse(fail.UnknownField, "not a field of a pool")
 }
 
-func readPath(p *Path, field string, v value) error {
+func readPath(p *Path, field string, v Value) error {
 	switch field {
 	case "name":
-		return set(&p.Name, v.name)
+		return set(&p.Name, v.Name)
 	case "address":
-		if err := set(&p.Address, v.text); err != nil {
+		if err := set(&p.Address, v.Text); err != nil {
 			return err
 		}
 		if !strings.HasPrefix(p.Address, "/") || len(p.Address) > 256 {
-			return v.bounce(fail.OutOfRange, "an address starts with / and has at most 256 bytes")
+			return v.Refuse(fail.OutOfRange, "an address starts with / and has at most 256 bytes")
 		}
 		return nil
 	case "model":
-		return set(&p.Model, v.name)
+		return set(&p.Model, v.Name)
 	case "pool":
-		return set(&p.Pool, v.name)
+		return set(&p.Pool, v.Name)
 	case "repeatable":
-		return set(&p.IsRepeatable, v.flag)
+		return set(&p.IsRepeatable, v.Flag)
 	case "deadline_ms":
 		return set(&p.DeadlineMs, between(v, 100, 600000))
 	case "max_body":
 		return set(&p.MaxBody, between(v, 0, 16<<20))
 	case "cost":
 		return set(&p.Cost, between(v, 1, 1000))
+	case "host":
+		return set(&p.Host, v.Text)
+	case "targets":
+		p.Targets = nil
+		return v.List(func(item Value) error {
+			var t Target
+			err := item.Object(func(field string, v Value) error {
+				switch field {
+				case "pool":
+					return set(&t.Pool, v.Name)
+				case "share":
+					return set(&t.Share, between(v, 0, 1000000))
+				}
+				return v.Refuse(fail.UnknownField, "not a field of a target")
+			})
+			p.Targets = append(p.Targets, t)
+			return err
+		})
+	case "tries":
+		return set(&p.Tries, between(v, 0, 100))
+	case "aim_ms":
+		return set(&p.AimMs, between(v, 0, 600000))
+	case "gap_ms":
+		return set(&p.GapMs, between(v, 0, 600000))
+	case "urgency":
+		return set(&p.Urgency, between(v, 0, 9))
+	case "resumable":
+		return set(&p.IsResumable, v.Flag)
+	case "public":
+		return set(&p.IsPublic, v.Flag)
 	}
-	return v.bounce(fail.UnknownField, "not a field of a path")
+	return v.Refuse(fail.UnknownField, "not a field of a path")
 }
 
-func readHold(v value, h *Hold) error {
-	return v.object(func(field string, v value) error {
+func readHold(v Value, h *Hold) error {
+	return v.Object(func(field string, v Value) error {
 		switch field {
 		case "base_ms":
 			return set(&h.BaseMs, between(v, 1, 60000))
 		case "cap_ms":
 			return set(&h.CapMs, between(v, 1, 600000))
 		case "jitter":
-			return set(&h.Jitter, func() (float64, error) { return v.figure(0, 1) })
+			return set(&h.Jitter, func() (float64, error) { return v.Figure(0, 1) })
 		case "observe":
-			return set(&h.IsObserve, v.flag)
+			return set(&h.IsObserve, v.Flag)
 		case "slow_ratio":
-			return set(&h.SlowRatio, func() (float64, error) { return v.figure(1.5, 100) })
+			return set(&h.SlowRatio, func() (float64, error) { return v.Figure(1.5, 100) })
+		}
+		return v.Refuse(fail.UnknownField, "not a field of the hold")
+	})
+}
+
+func readLimits(v Value, l *Limits) error {
+	return v.Object(func(field string, v Value) error {
+		switch field {
+		case "header_bytes":
+			return set(&l.HeaderBytes, between(v, 0, 1<<20))
+		case "body_bytes":
+			return set(&l.BodyBytes, between(v, 0, 16<<20))
+		case "header_ms":
+			return set(&l.HeaderMs, between(v, 0, 600000))
+		case "idle_ms":
+			return set(&l.IdleMs, between(v, 0, 3600000))
 		}
-		return v.bounce(fail.UnknownField, "not a field of the hold")
+		return v.Refuse(fail.UnknownField, "not a field of the limits")
 	})
 }
--- /dev/null
+++ b/blueprint/declaration.go
@@ -0,0 +1,145 @@
+package blueprint
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"asterridge/fail"
+	"asterridge/register"
+)
+
+// Declaration is a configuration under a number of the operators' own, whole or partial upon the one before (docs/design.md §2.9).
+type Declaration struct {
+	Number  uint64          `json:"number"`
+	BasedOn uint64          `json:"based_on"`
+	IsWhole bool            `json:"whole"`
+	Digest  string          `json:"digest"` // of the text that it was read from
+	Items   register.Fields `json:"items"`  // as Blueprint.Fields names them
+	Texts   register.Fields `json:"texts"`  // the same names: as the operators wrote them
+	Order   []string        `json:"order"`  // of the texts' names
+	Removed []string        `json:"removed,omitempty"`
+}
+
+const (
+	numberField = "number"
+	textPrefix  = "text/"
+	digestsKept = 64
+)
+
+// numbered is what the register remembers of the accepted numbers, newest last.
+type numbered struct {
+	Number  uint64   `json:"number"`
+	Digests []digest `json:"digests"`
+}
+
+type digest struct {
+	Number uint64 `json:"number"`
+	Digest string `json:"digest"`
+}
+
+// text is an item as it was written, with its place among the others.
+type text struct {
+	Place int             `json:"place"`
+	Text  json.RawMessage `json:"text"`
+}
+
+// IsText says whether a field only keeps what operators wrote; the data plane has no use for it.
+func IsText(field string) bool {
+	return field == numberField || strings.HasPrefix(field, textPrefix)
+}
+
+// Number gives the accepted number; 0: the blueprint is not declared by numbers.
+func Number(fields register.Fields) uint64 { return readNumbered(fields).Number }
+
+func readNumbered(fields register.Fields) (n numbered) {
+	_ = json.Unmarshal(fields[numberField], &n) // none yet: 0
+	return n
+}
+
+// Text is a declared item as it was written.
+type Text struct {
+	Kind, Name string
+	Text       json.RawMessage
+}
+
+// Texts lists the declared items as they were written, in their order.
+func Texts(fields register.Fields) (all []Text) {
+	places := map[string]int{}
+	for field, raw := range fields {
+		name, isText := strings.CutPrefix(field, textPrefix)
+		var t text
+		if !isText || json.Unmarshal(raw, &t) != nil {
+			continue
+		}
+		kind, rest, _ := strings.Cut(name, "/")
+		places[name] = t.Place
+		all = append(all, Text{kind, rest, t.Text})
+	}
+	slices.SortFunc(all, func(a, b Text) int {
+		if by := strings.Compare(a.Kind, b.Kind); by != 0 {
+			return by
+		}
+		if by := places[a.Kind+"/"+a.Name] - places[b.Kind+"/"+b.Name]; by != 0 {
+			return by
+		}
+		return strings.Compare(a.Name, b.Name)
+	})
+	return all
+}
+
+// Declare gives the change that a declaration makes; none if just this one was accepted before.
+func Declare(now register.Fields, version uint64, d Declaration) (register.Fields, error) {
+	was := readNumbered(now)
+	if slices.Contains(was.Digests, digest{d.Number, d.Digest}) {
+		return nil, nil
+	}
+	if d.BasedOn != was.Number {
+		return nil, fail.New(fail.Conflict, "built on %d, present is %d", d.BasedOn, was.Number)
+	}
+	if d.Number <= was.Number {
+		return nil, fail.New(fail.OutOfRange, "number %d is not above %d", d.Number, was.Number)
+	}
+	made := register.Fields{}
+	next := 0
+	for field, raw := range now {
+		if !d.IsWhole || field == "hold" {
+			made[field] = raw
+		}
+		var t text
+		if !d.IsWhole && strings.HasPrefix(field, textPrefix) && json.Unmarshal(raw, &t) == nil {
+			next = max(next, t.Place+1)
+		}
+	}
+	for _, name := range d.Removed {
+		delete(made, name)
+		delete(made, textPrefix+name)
+	}
+	made.Apply(d.Items)
+	for i, name := range d.Order {
+		t := text{Place: next + i, Text: d.Texts[name]}
+		var before text
+		if json.Unmarshal(made[textPrefix+name], &before) == nil {
+			t.Place = before.Place
+		}
+		made[textPrefix+name], _ = json.Marshal(t) // what was read as JSON encodes
+	}
+	was.Number = d.Number
+	was.Digests = append(was.Digests, digest{d.Number, d.Digest})
+	was.Digests = was.Digests[max(0, len(was.Digests)-digestsKept):]
+	made[numberField], _ = json.Marshal(was) // a plain struct always encodes
+	b, err := FromFields(made)
+	if err == nil {
+		err = b.Check()
+	}
+	if err != nil {
+		return nil, err
+	}
+	base, err := FromFields(now)
+	if err != nil {
+		return nil, err
+	}
+	b.Inherit(base, version+1)
+	made.Apply(b.Fields())
+	return Delta(now, made), nil
+}
--- a/blueprint/state.go
+++ b/blueprint/state.go
@@ -14,6 +14,8 @@
 	ReplicasKey = "replicas"
 	MembersKey  = "members"
 	KeysPrefix  = "keys/"
+	ModelsKey   = "models" // model → the version that operators have named
+	LoadsKey    = "loads"  // replica → its last order to load (§6.2)
 )
 
 // Replica is what the platform tells of a back end.
@@ -24,6 +26,20 @@
 	Zone    string `json:"zone"`
 	State   string `json:"state"` // "present", "leaving" or "warming"
 	Limit   int    `json:"limit"` // requests at a time
+	// Models has the versions that the platform tells of, where it does; they may lag.
+	Models map[string]uint64 `json:"models,omitempty"`
+}
+
+// Model is a model's named version.
+type Model struct {
+	Version uint64 `json:"version"`
+}
+
+// LoadOrder is an order to a replica to take a version of a model.
+type LoadOrder struct {
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+	IsDone  bool   `json:"done,omitempty"`
 }
 
 // Access is what is kept of an access key, under its hash.
@@ -39,6 +55,8 @@
 	Address     string `json:"address"`
 	Zone        string `json:"zone"`
 	Incarnation string `json:"incarnation"`
+	// For is the member of its zone that was silent when this one was admitted, and gives way to it if it stays silent.
+	For string `json:"for,omitempty"`
 }
 
 // HashKey is how an access key is kept.
@@ -66,39 +84,39 @@
 
 // ReadReplicas takes the platform's list of replicas, field by field.
 func ReadReplicas(text []byte) ([]Replica, error) {
-	doc, err := document(text)
+	doc, err := Document(text)
 	if err != nil {
 		return nil, err
 	}
 	var all []Replica
-	err = doc.object(func(field string, v value) error {
+	err = doc.Object(func(field string, v Value) error {
 		if field != "replicas" {
-			return v.bounce(fail.UnknownField, "not a field of the platform's news")
+			return v.Refuse(fail.UnknownField, "not a field of the platform's news")
 		}
-		return v.list(func(item value) error {
+		return v.List(func(item Value) error {
 			r := Replica{State: "present", Limit: 4}
-			err := item.object(func(field string, v value) error {
+			err := item.Object(func(field string, v Value) error {
 				switch field {
 				case "name":
-					return set(&r.Name, v.name)
+					return set(&r.Name, v.Name)
 				case "address":
-					return set(&r.Address, v.text)
+					return set(&r.Address, v.Text)
 				case "pool":
-					return set(&r.Pool, v.name)
+					return set(&r.Pool, v.Name)
 				case "zone":
-					return set(&r.Zone, v.name)
+					return set(&r.Zone, v.Name)
 				case "state":
 					return set(&r.State, word(v, "present", "leaving", "warming", "gone"))
 				case "limit":
 					return set(&r.Limit, between(v, 1, 10000))
 				}
-				return v.bounce(fail.UnknownField, "not a field of a replica")
+				return v.Refuse(fail.UnknownField, "not a field of a replica")
 			})
 			if err == nil && r.Name == "" {
-				err = item.bounce(fail.Missing, "needs a name")
+				err = item.Refuse(fail.Missing, "needs a name")
 			}
 			if err == nil && r.State != "gone" && r.State != "leaving" && (r.Address == "" || r.Pool == "") {
-				err = item.bounce(fail.Missing, "needs address and pool")
+				err = item.Refuse(fail.Missing, "needs address and pool")
 			}
 			all = append(all, r)
 			return err
--- a/blueprint/value.go
+++ b/blueprint/value.go
@@ -10,45 +10,48 @@
 	"asterridge/fail"
 )
 
-// value is one JSON value with its place in the operator's text.
-type value struct {
+// Value is one JSON value with its place in the operator's text.
+type Value struct {
 	raw  jx.Raw
 	path string
 	at   int // byte position, from 1
 }
 
-func (v value) bounce(c fail.Code, format string, args ...any) error {
+func (v Value) Refuse(c fail.Code, format string, args ...any) error {
 	f := fail.New(c, format, args...)
 	f.Field, f.At = v.path, v.at
 	return f
 }
 
-// document checks that the whole text is one JSON value.
-func document(text []byte) (value, error) {
+// Document checks that the whole text is one JSON value.
+func Document(text []byte) (Value, error) {
 	d := jx.DecodeBytes(text)
 	if err := d.Validate(); err != nil {
-		return value{}, fail.Wrap(err, fail.Malformed, "read JSON")
+		return Value{}, fail.Wrap(err, fail.Malformed, "read JSON")
 	}
 	return nested(text, jx.DecodeBytes(text), "", 1)
 }
 
 // nested takes the decoder's next value; its place shows in what is left of the text's capacity.
-func nested(text []byte, d *jx.Decoder, path string, base int) (value, error) {
+func nested(text []byte, d *jx.Decoder, path string, base int) (Value, error) {
 	raw, err := d.Raw()
 	if err != nil {
-		return value{}, fail.Wrap(err, fail.Malformed, "read "+path)
+		return Value{}, fail.Wrap(err, fail.Malformed, "read "+path)
 	}
-	return value{raw: raw, path: path, at: base + cap(text) - cap(raw)}, nil
+	return Value{raw: raw, path: path, at: base + cap(text) - cap(raw)}, nil
 }
 
-func (v value) need(t jx.Type, name string) error {
+// Raw is the value as it was written.
+func (v Value) Raw() []byte { return v.raw }
+
+func (v Value) need(t jx.Type, name string) error {
 	if v.raw.Type() != t {
-		return v.bounce(fail.WrongType, "needs %s, has %s", name, v.raw.Type())
+		return v.Refuse(fail.WrongType, "needs %s, has %s", name, v.raw.Type())
 	}
 	return nil
 }
 
-func (v value) object(read func(name string, field value) error) error {
+func (v Value) Object(read func(name string, field Value) error) error {
 	if err := v.need(jx.Object, "an object"); err != nil {
 		return err
 	}
@@ -59,7 +62,7 @@
 			return err
 		}
 		if met[name] {
-			return field.bounce(fail.RepeatField, "given twice")
+			return field.Refuse(fail.RepeatField, "given twice")
 		}
 		met[name] = true
 		return read(name, field)
@@ -73,7 +76,7 @@
 	return path + "." + name
 }
 
-func (v value) list(read func(item value) error) error {
+func (v Value) List(read func(item Value) error) error {
 	if err := v.need(jx.Array, "a list"); err != nil {
 		return err
 	}
@@ -88,7 +91,7 @@
 	})
 }
 
-func (v value) text() (string, error) {
+func (v Value) Text() (string, error) {
 	if err := v.need(jx.String, "a string"); err != nil {
 		return "", err
 	}
@@ -99,16 +102,16 @@
 var plainName = regexp.MustCompile(`^[\pL\pN][\pL\pN._-]{0,63}$`)
 
 // name reads a string that may name a thing.
-func (v value) name() (string, error) {
-	s, err := v.text()
+func (v Value) Name() (string, error) {
+	s, err := v.Text()
 	if err == nil && !plainName.MatchString(s) {
-		err = v.bounce(fail.OutOfRange, "%q is no name: letters, digits, dot, dash, underscore; at most 64", s)
+		err = v.Refuse(fail.OutOfRange, "%q is no name: letters, digits, dot, dash, underscore; at most 64", s)
 	}
 	return s, err
 }
 
-func (v value) oneOf(words ...string) (string, error) {
-	s, err := v.text()
+func (v Value) OneOf(words ...string) (string, error) {
+	s, err := v.Text()
 	if err != nil {
 		return "", err
 	}
@@ -117,10 +120,10 @@
 			return s, nil
 		}
 	}
-	return "", v.bounce(fail.OutOfRange, "%q is not one of %v", s, words)
+	return "", v.Refuse(fail.OutOfRange, "%q is not one of %v", s, words)
 }
 
-func (v value) flag() (bool, error) {
+func (v Value) Flag() (bool, error) {
 	if err := v.need(jx.Bool, "true or false"); err != nil {
 		return false, err
 	}
@@ -128,27 +131,27 @@
 	return b, fail.Wrap(err, fail.Malformed, "read "+v.path)
 }
 
-func (v value) whole(least, most int) (int, error) {
+func (v Value) Whole(least, most int) (int, error) {
 	if err := v.need(jx.Number, "a whole number"); err != nil {
 		return 0, err
 	}
 	n, err := jx.DecodeBytes(v.raw).Int()
 	if err != nil {
-		return 0, v.bounce(fail.WrongType, "%s is not a whole number", v.raw)
+		return 0, v.Refuse(fail.WrongType, "%s is not a whole number", v.raw)
 	}
 	if n < least || n > most {
-		return 0, v.bounce(fail.OutOfRange, "%d is not within %d to %d", n, least, most)
+		return 0, v.Refuse(fail.OutOfRange, "%d is not within %d to %d", n, least, most)
 	}
 	return n, nil
 }
 
-func (v value) figure(least, most float64) (float64, error) {
+func (v Value) Figure(least, most float64) (float64, error) {
 	if err := v.need(jx.Number, "a number"); err != nil {
 		return 0, err
 	}
 	n, err := jx.DecodeBytes(v.raw).Float64()
 	if err != nil || n < least || n > most {
-		return 0, v.bounce(fail.OutOfRange, "%s is not within %g to %g", v.raw, least, most)
+		return 0, v.Refuse(fail.OutOfRange, "%s is not within %g to %g", v.raw, least, most)
 	}
 	return n, nil
 }
--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -30,6 +30,6 @@
 		if err != nil {
 			return err
 		}
-		return daemon.NewAgent(s.Place, kept).Serve(ctx, inner, outer)
+		return daemon.NewAgent(s.Place, kept, daemon.AgentOptions{}).Serve(ctx, inner, outer)
 	})
 }
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -31,6 +31,7 @@
 // Agent keeps the links to the cores and feeds the proxy beside it.
 type Agent struct {
 	place   Place
+	options AgentOptions
 	dialect router.Dialect
 	wire    *link.Wire
 	plain   *http.Client
@@ -59,11 +60,32 @@
 	since time.Time
 }
 
+// AgentOptions of an agent; what is zero has its usual value.
+type AgentOptions struct {
+	Dialect   router.Dialect
+	Fresh     time.Duration // T
+	Undecided time.Duration // U
+	LinkWait  time.Duration // how long an ask is held by a core
+	Grace     time.Duration // how long it goes on beside a proxy that has yet to stop
+}
+
 // NewAgent makes an agent. On its disk, if it has one, it keeps where the cores are.
-func NewAgent(place Place, d disk.Disk) *Agent {
+func NewAgent(place Place, d disk.Disk, options AgentOptions) *Agent {
+	if options.Dialect == nil {
+		options.Dialect = router.ChatDialect{}
+	}
+	if options.Fresh == 0 {
+		options.Fresh = freshTerm
+	}
+	if options.Undecided == 0 {
+		options.Undecided = undecidedTerm
+	}
+	if options.LinkWait == 0 {
+		options.LinkWait = pullWait
+	}
 	a := &Agent{
-		disk:  d,
-		place: place, dialect: router.ChatDialect{}, wire: link.NewWire(place.Fleet, place.Net),
+		disk: d, options: options,
+		place: place, dialect: options.Dialect, wire: link.NewWire(place.Fleet, place.Net),
 		plain: newPlain(place.Net),
 		links: map[string]*link.Follower{}, applied: map[string]register.Stamp{}, undecided: map[string]doubt{},
 		why: "no core found yet", proxies: register.Fields{}, replicas: map[string]context.CancelFunc{}, watched: map[string]blueprint.Replica{},
@@ -78,9 +100,14 @@
 }
 
 // Serve runs the agent: local is the loopback side for its proxy, listener the side for the cores.
-func (a *Agent) Serve(ctx context.Context, local, listener net.Listener) error {
-	ctx, stop := context.WithCancel(ctx)
+func (a *Agent) Serve(stopped context.Context, local, listener net.Listener) error {
+	ctx, stop := context.WithCancel(context.WithoutCancel(stopped))
 	defer stop()
+	go func() {
+		defer stop()
+		<-stopped.Done()
+		a.seeOff()
+	}()
 	mux, fleet := http.NewServeMux(), a.place.Fleet
 	mux.Handle("POST /agent/pull", link.Serve(fleet, a.source.Pull))
 	mux.Handle("POST /agent/hold", link.Serve(fleet, a.tellHold))
@@ -99,6 +126,19 @@
 	return serve(ctx, local, mux, time.Second)
 }
 
+// seeOff goes on beside a proxy that is stopping, so that it stays current until its last request is answered.
+func (a *Agent) seeOff() {
+	for end := time.Now().Add(a.options.Grace); time.Now().Before(end); {
+		isThere := false
+		for _, s := range a.source.Standings(liveTime) {
+			isThere = isThere || s.Role == "proxy"
+		}
+		if !isThere || link.Pause(context.Background(), helloTime) != nil {
+			return
+		}
+	}
+}
+
 func (a *Agent) hello(context.Context, Hello) (Hello, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -175,7 +215,7 @@
 	for _, m := range slices.Concat(a.members, a.prior) {
 		if a.links[m.Address] == nil {
 			f := link.NewFollower(link.FollowerOptions{
-				Wire: a.wire, Address: m.Address, Path: "/core/pull", Wait: pullWait, Ask: a.ask,
+				Wire: a.wire, Address: m.Address, Path: "/core/pull", Wait: a.options.LinkWait, Ask: a.ask,
 				News:  takeHolds(a.table), // the rest is looked at in digest, which follows each answer
 				Fresh: func(*link.Follower, time.Time, time.Duration) { a.digest(ctx) },
 			})
@@ -223,7 +263,7 @@
 	a.workOut()
 	partners := register.Fields{}
 	for _, f := range a.links {
-		if time.Since(f.FreshAt()) < freshTerm {
+		if time.Since(f.FreshAt()) < a.options.Fresh {
 			for name, raw := range f.Read(router.ProxiesKey).Fields {
 				partners[name] = raw
 			}
@@ -233,7 +273,9 @@
 		a.proxies = partners
 		a.source.Put(router.ProxiesKey, register.Stamp{}, register.Stamp{}, change, false)
 	}
-	a.watch(ctx)
+	if a.dialect.ReportPath() != "" {
+		a.watch(ctx)
+	}
 }
 
 // lists are the lists of members that count: the present one, and the one before while keys are carried over from it (§2.8).
@@ -298,7 +340,7 @@
 		return time.Time{}
 	}
 	sort.Slice(sent, func(i, j int) bool { return sent[i].After(sent[j]) })
-	return sent[majority-1].Add(freshTerm)
+	return sent[majority-1].Add(a.options.Fresh)
 }
 
 // stands says whether a majority of each list fits.
@@ -323,7 +365,7 @@
 		lacking := 0
 		for _, m := range list {
 			f := a.links[m.Address]
-			if f == nil || now.Sub(f.FreshOf(m.Incarnation)) >= freshTerm {
+			if f == nil || now.Sub(f.FreshOf(m.Incarnation)) >= a.options.Fresh {
 				continue
 			}
 			if has, _ := f.Stamps(key); has.Less(stamp) {
@@ -375,11 +417,11 @@
 	if !isKnown {
 		open = doubt{stamp: top, since: now}
 		if !wasCurrent {
-			open.since = now.Add(-undecidedTerm)
+			open.since = now.Add(-a.options.Undecided)
 		}
 		a.undecided[key] = open
 	}
-	return open.since.Add(undecidedTerm), true
+	return open.since.Add(a.options.Undecided), true
 }
 
 // remaining is how much longer this agent is current.
@@ -445,7 +487,7 @@
 		raw, _ := json.Marshal(body.Report) // a plain struct always encodes
 		change := register.Fields{}
 		for _, block := range body.Kept {
-			change[block] = json.RawMessage(`1`)
+			change[block] = json.RawMessage(`0`) // whole
 		}
 		for _, block := range body.Dropped {
 			change[block] = nil
--- /dev/null
+++ b/daemon/backend.go
@@ -0,0 +1,258 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/register"
+	"asterridge/term"
+)
+
+// Backend is how the control plane speaks with a platform that lists the replicas, and with replicas that take orders (§6.2).
+type Backend interface {
+	// List gives all replicas there are.
+	List(ctx context.Context) ([]blueprint.Replica, error)
+	// Versions asks a replica which versions of its models it has, and whether it is carrying out an order.
+	Versions(ctx context.Context, r blueprint.Replica) (models map[string]uint64, isBusy bool, err error)
+	// Load orders a replica to take a version when what runs on it has ended.
+	Load(ctx context.Context, r blueprint.Replica, o Order) error
+}
+
+// Order is an order to a replica. Of two orders under different fences the one with the lower fence is void.
+type Order struct {
+	blueprint.LoadOrder
+	Holder string
+	Fence  uint64
+}
+
+const (
+	listStep     = time.Second
+	loadStep     = 200 * time.Millisecond
+	announceTime = 250 * time.Millisecond // between the word that a replica will load and the order: the proxies let it run dry
+	loadPart     = 5                      // so much of a pool loads at a time: a fifth
+	orderAgain   = 2 * time.Second
+	orderRest    = 5 * time.Second // a replica that does not answer is left for later
+)
+
+// runBackend has this core look after the list of replicas and their models, as far as it is drawn for that.
+func (c *Core) runBackend(ctx context.Context) {
+	l := &loader{core: c, marked: map[string]time.Time{}, ordered: map[string]time.Time{}, resting: map[string]time.Time{},
+		seat: c.newSeat("loading")}
+	go every(ctx, listStep, func() { c.listReplicas(ctx) })
+	go every(ctx, loadStep, func() { l.step(ctx) })
+}
+
+// listReplicas brings the register of replicas up to the platform's list. Whoever owns the register asks; should two ask for a moment,
+// both write what there is.
+func (c *Core) listReplicas(ctx context.Context) {
+	if c.council().self == nil || register.Draw(blueprint.ReplicasKey, c.live()) != c.place.Name {
+		return
+	}
+	short, stop := context.WithTimeout(ctx, 2*listStep)
+	defer stop()
+	listed, err := c.options.Backend.List(short)
+	if err != nil {
+		c.place.Log.Warn().Str("event", "list_failed").Err(err).Msg("")
+		return
+	}
+	fields := register.Fields{}
+	for _, r := range listed {
+		fields.Apply(blueprint.Field(r.Name, r))
+	}
+	if len(blueprint.Delta(c.keeper.Read(blueprint.ReplicasKey).Fields, fields)) == 0 {
+		return
+	}
+	stamp, err := c.owner.Change(short, blueprint.ReplicasKey, func(now register.Fields, _ uint64) (register.Fields, error) {
+		return blueprint.Delta(now, fields), nil
+	})
+	c.note("replicas", blueprint.ReplicasKey, stamp, err)
+}
+
+// orderLoads writes marks of the loader.
+func (c *Core) orderLoads(ctx context.Context, change register.Fields) (Accepted, error) {
+	stamp, err := c.owner.Change(ctx, blueprint.LoadsKey, func(register.Fields, uint64) (register.Fields, error) { return change, nil })
+	return Accepted{stamp.Version}, err
+}
+
+// loader is the duty of having replicas load the versions that operators have named. What it does stands in the register of loads before it
+// is done: proxies keep away from a replica that will load, and the next holder goes on from there.
+type loader struct {
+	core    *Core
+	seat    *term.Seat
+	marked  map[string]time.Time // since when a mark of ours stands
+	ordered map[string]time.Time // when a replica was last told
+	resting map[string]time.Time // until when a silent replica is left alone
+	renewed time.Time
+}
+
+// loading is a replica with what it has to load.
+type loading struct {
+	replica blueprint.Replica
+	order   blueprint.LoadOrder
+	isOpen  bool // its mark stands already
+}
+
+func (l *loader) step(ctx context.Context) {
+	c := l.core
+	l.seat.Watch()
+	due, gone, most := l.survey()
+	fence, isOurs := l.seat.Holds()
+	if len(due) == 0 && len(gone) == 0 || c.council().self == nil {
+		return
+	}
+	if time.Since(l.renewed) > termLength/5 && (isOurs || register.Draw(termPrefix+"loading", c.live()) == c.place.Name) {
+		l.renewed = time.Now()
+		l.seat.Step(ctx)
+		fence, isOurs = l.seat.Holds()
+	}
+	if !isOurs || time.Now().Before(l.seat.QuietUntil().Add(c.options.Lease)) {
+		return
+	}
+	change, now := register.Fields{}, time.Now()
+	for _, name := range gone {
+		change[name] = nil
+	}
+	open := 0
+	for _, d := range due {
+		if d.isOpen {
+			open++
+		}
+	}
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	for _, d := range due {
+		name := d.replica.Name
+		switch {
+		case d.isOpen:
+			asked.Go(func() {
+				isDone, isSilent := l.attend(ctx, d, fence)
+				mu.Lock()
+				defer mu.Unlock()
+				if isDone {
+					d.order.IsDone = true
+					change.Apply(blueprint.Field(name, d.order))
+				} else if isSilent {
+					change[name] = nil
+					l.resting[name] = time.Now().Add(orderRest)
+				}
+			})
+		case open < most && now.After(l.resting[name]):
+			open++
+			mu.Lock()
+			change.Apply(blueprint.Field(name, d.order))
+			mu.Unlock()
+		}
+	}
+	asked.Wait()
+	if len(change) == 0 {
+		return
+	}
+	short, stop := context.WithTimeout(ctx, majorityWait)
+	defer stop()
+	_, err := c.loads(short, change)
+	c.note("loads", blueprint.LoadsKey, c.keeper.Stamp(blueprint.LoadsKey), err)
+}
+
+// survey gives what is to be loaded, in an order that all holders agree on, the marks of replicas that are gone, and how many may load.
+func (l *loader) survey() (due []loading, gone []string, most int) {
+	c := l.core
+	plan, err := blueprint.FromFields(withoutTexts(c.keeper.Read(blueprint.Key).Fields))
+	models, failed := blueprint.Load[blueprint.Model](c.keeper.Read(blueprint.ModelsKey).Fields)
+	replicas, broken := blueprint.Load[blueprint.Replica](c.keeper.Read(blueprint.ReplicasKey).Fields)
+	loads, torn := blueprint.Load[blueprint.LoadOrder](c.keeper.Read(blueprint.LoadsKey).Fields)
+	if err != nil || failed != nil || broken != nil || torn != nil {
+		return nil, nil, 0
+	}
+	for name := range loads {
+		if r, isThere := replicas[name]; !isThere || r.State == "leaving" && !loads[name].IsDone {
+			gone = append(gone, name)
+			delete(loads, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(plan.Pools)) {
+		pool := plan.Pools[name]
+		size := 0
+		for _, id := range slices.Sorted(maps.Keys(replicas)) {
+			r := replicas[id]
+			if r.Pool != name || r.State == "leaving" {
+				continue
+			}
+			size++
+			for _, model := range pool.Models {
+				wanted, has := models[model].Version, max(1, r.Models[model])
+				load, isMarked := loads[id]
+				if isMarked && load.Model == model && load.IsDone {
+					has = max(has, load.Version)
+				}
+				isOpen := isMarked && !load.IsDone && load.Model == model
+				if isOpen && load.Version >= wanted || has >= wanted && isOpen {
+					due = append(due, loading{r, load, true})
+				} else if has < wanted {
+					due = append(due, loading{r, blueprint.LoadOrder{Model: model, Version: wanted}, isOpen})
+				}
+			}
+		}
+		most += max(1, size/loadPart)
+	}
+	slices.SortStableFunc(due, func(a, b loading) int {
+		switch {
+		case a.isOpen == b.isOpen:
+			return 0
+		case a.isOpen:
+			return -1
+		}
+		return 1
+	})
+	return due, gone, most
+}
+
+// attend asks a replica how far it is, and orders it to load once its mark has stood long enough for the proxies to know it.
+func (l *loader) attend(ctx context.Context, d loading, fence uint64) (isDone, isSilent bool) {
+	c, name := l.core, d.replica.Name
+	short, stop := context.WithTimeout(ctx, reportLimit)
+	defer stop()
+	c.mu.Lock()
+	since, isMarked := l.marked[name+"/"+d.order.Model]
+	if !isMarked {
+		since = time.Now()
+		l.marked[name+"/"+d.order.Model] = since
+	}
+	told := l.ordered[name]
+	c.mu.Unlock()
+	if time.Since(since) < announceTime {
+		return false, false
+	}
+	if !told.IsZero() && time.Since(told) < orderAgain/4 {
+		return false, false // its reports lag: they would not show the order yet
+	}
+	models, isBusy, err := c.options.Backend.Versions(short, d.replica)
+	if err != nil {
+		return false, time.Since(since) > orderAgain
+	}
+	if models[d.order.Model] >= d.order.Version && !isBusy {
+		c.mu.Lock()
+		delete(l.marked, name+"/"+d.order.Model)
+		delete(l.ordered, name)
+		c.mu.Unlock()
+		return true, false
+	}
+	if isBusy || time.Since(told) < orderAgain {
+		return false, false
+	}
+	if now, isOurs := l.seat.Holds(); !isOurs || now < fence {
+		return false, false
+	} else {
+		fence = now
+	}
+	err = c.options.Backend.Load(short, d.replica, Order{d.order, l.seat.Holder(), fence})
+	c.mu.Lock()
+	l.ordered[name] = time.Now()
+	c.mu.Unlock()
+	c.place.Log.Info().Str("event", "load").Str("replica", name).Str("model", d.order.Model).Uint64("version", d.order.Version).
+		Uint64("fence", fence).AnErr("failure", err).Msg("")
+	return false, false
+}
--- /dev/null
+++ b/daemon/bounds.go
@@ -0,0 +1,55 @@
+package daemon
+
+import "time"
+
+// Bounds are what a deployment promises to its users; the daemons' own terms follow from them (§3.2, §6.2).
+type Bounds struct {
+	IsClosed   bool          // a revoked key is refused everywhere, also by a proxy that is cut off
+	Revoke     time.Duration // within which it is
+	Apply      time.Duration // a configuration is used
+	Version    time.Duration // no request begins on old weights after it
+	Lease      time.Duration // between the orders of two holders of a duty
+	Drain      time.Duration // a leaving replica gets no more work after it
+	Grace      time.Duration // from the word to stop to the end of the process
+	RetrySlack float64       // second tries that the fleet may send beyond its part
+	Beat       time.Duration // between two beats of the ring
+	MemoryMB   int           // of one process
+}
+
+const (
+	staleMargin   = time.Second // of the bound on revoked keys: the last look, the send, and the replica's own start
+	staleMost     = 10 * time.Second
+	versionMargin = 2 * time.Second
+	longWait      = 700 * time.Millisecond
+	roomPart      = 4   // so much of the memory holds callers' bodies
+	indexPerMB    = 100 // entries of the index of kept prompts
+)
+
+// stale is how long a proxy serves by what it knows without a word from a majority of cores (T and U).
+func (b Bounds) stale() time.Duration {
+	if !b.IsClosed {
+		return staleMost
+	}
+	return max(freshTerm, min(b.Revoke-staleMargin, staleMost))
+}
+
+// Agent gives the agent's options.
+func (b Bounds) Agent() AgentOptions {
+	return AgentOptions{Fresh: b.stale(), Undecided: b.stale(), LinkWait: longWait, Grace: max(0, b.Grace-time.Second/2)}
+}
+
+// Proxy gives the proxy's options.
+func (b Bounds) Proxy() ProxyOptions {
+	return ProxyOptions{
+		Grace: max(0, b.Grace-time.Second), Linger: min(lingerTime, b.Grace/3), OldWeights: max(0, b.Version-versionMargin),
+		RetrySlack: b.RetrySlack, AgentWait: longWait, Index: b.MemoryMB * indexPerMB, Room: int64(b.MemoryMB) << 20 / roomPart,
+	}
+}
+
+// lingerTime covers two of the platform's checks of readiness.
+const lingerTime = 2200 * time.Millisecond
+
+// Core gives the core's options.
+func (b Bounds) Core() CoreOptions {
+	return CoreOptions{ClaimAge: time.Hour, IsSelfAdmitting: true, Lease: b.Lease, LinkWait: 200 * time.Millisecond}
+}
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -49,10 +49,16 @@
 	isDamaged   atomic.Bool // a torn file: this core's word counts for nobody until it has caught up (§2.5)
 	learning    sync.Mutex
 	carrying    sync.Mutex
+	tending     sync.Mutex
 	members     atomic.Pointer[council] // nil until the fleet is founded
 
 	hasImage atomic.Bool // at the last beat: a majority was heard, and all that it has settled is here
 
+	declare func(context.Context, blueprint.Declaration) (Accepted, error)
+	name    func(context.Context, ModelOrder) (Accepted, error)
+	loads   func(context.Context, register.Fields) (Accepted, error)
+	resolve func(context.Context, SettleOrder) (SettleAnswer, error)
+
 	claims map[string]time.Time // when this process first saw a claim; of the pruning alone
 
 	mu        sync.Mutex
@@ -67,6 +73,13 @@
 // CoreOptions of a core.
 type CoreOptions struct {
 	ClaimAge time.Duration // how long callers' keys are remembered, at the least
+	// IsSelfAdmitting lets the core's members admit strangers and retire the lost by themselves (§2.8).
+	IsSelfAdmitting bool
+	Backend         Backend                     // the platform and its replicas, where they do not speak our own interface
+	Lease           time.Duration               // between the last order of one holder of a duty and the first of the next
+	Endpoints       func(*Core, *http.ServeMux) // more of them, in a manner of speaking that is not ours
+	LinkWait        time.Duration               // how long the ask of another core is held; 0: 100 ms
+	Hold            *blueprint.Hold             // the waiting rule of a fleet that is declared by numbers and does not set it
 }
 
 // NewCore opens the disk and loads what it has.
@@ -122,15 +135,26 @@
 func (c *Core) keeperNews(key string, at register.Record, change register.Fields, isWhole bool) {
 	c.whole.Put(key, at.Stamp, at.Settled, change, isWhole)
 	if isForAgents(key) {
-		c.data.Put(key, at.Stamp, at.Settled, change, isWhole)
+		c.data.Put(key, at.Stamp, at.Settled, withoutTexts(change), isWhole)
 	}
 	if key == blueprint.MembersKey && c.keeper != nil {
 		go c.learnMembers()
 	}
 }
 
+// withoutTexts leaves out what operators wrote, which only they read again.
+func withoutTexts(change register.Fields) register.Fields {
+	kept := register.Fields{}
+	for field, raw := range change {
+		if !blueprint.IsText(field) {
+			kept[field] = raw
+		}
+	}
+	return kept
+}
+
 func isForAgents(key string) bool {
-	return key == blueprint.Key || key == blueprint.ReplicasKey || key == blueprint.MembersKey || strings.HasPrefix(key, blueprint.KeysPrefix)
+	return key == blueprint.Key || key == blueprint.ModelsKey || key == blueprint.LoadsKey || key == blueprint.ReplicasKey || key == blueprint.MembersKey || strings.HasPrefix(key, blueprint.KeysPrefix)
 }
 
 func (c *Core) holdNews(e hold.Entry) {
@@ -154,10 +178,14 @@
 	defer stop()
 	go c.found(ctx)
 	go every(ctx, beatTime, func() { c.beat(ctx) })
+	handler := c.handler()
 	go c.runDuties(ctx)
+	if c.options.Backend != nil {
+		c.runBackend(ctx)
+	}
 	go c.ring.Run(ctx)
 	c.place.Log.Info().Str("event", "core_up").Str("address", c.place.Address).Str("incarnation", c.incarnation).Msg("")
-	return serve(ctx, listener, c.handler(), time.Second)
+	return serve(ctx, listener, handler, time.Second)
 }
 
 func (c *Core) handler() http.Handler {
@@ -183,17 +211,22 @@
 	op(mux, c, "hold", func(n hold.Notice) string { return holdPrefix + n.Scope }, c.orderHold, true)
 	op(mux, c, "term", func(o TermOrder) string { return termPrefix + o.Duty }, c.orderTerm, false)
 	op(mux, c, "members", func(MembersOrder) string { return blueprint.MembersKey }, c.orderMembers, false)
-	op(mux, c, "settle", func(o SettleOrder) string { return o.Key }, c.orderSettle, true)
+	c.resolve = op(mux, c, "settle", func(o SettleOrder) string { return o.Key }, c.orderSettle, true)
+	c.declare = op(mux, c, "declaration", func(blueprint.Declaration) string { return blueprint.Key }, c.orderDeclaration, true)
+	c.name = op(mux, c, "models", func(ModelOrder) string { return blueprint.ModelsKey }, c.orderModel, true)
+	c.loads = op(mux, c, "loads", func(register.Fields) string { return blueprint.LoadsKey }, c.orderLoads, true)
+	if c.options.Endpoints != nil {
+		c.options.Endpoints(c, mux)
+	}
 	return mux
 }
 
 // op serves a change at /op/NAME, where any core takes it to the key's owner, and at /own/NAME, where this core does it itself.
-func op[Q, A any](mux *http.ServeMux, c *Core, name string, keyOf func(Q) string, do func(context.Context, Q) (A, error), isIdempotent bool) {
-	mux.Handle("POST /own/"+name, link.Serve(c.place.Fleet, do))
-	mux.Handle("POST /op/"+name, link.Serve(c.place.Fleet, func(ctx context.Context, q Q) (A, error) {
+func op[Q, A any](mux *http.ServeMux, c *Core, name string, keyOf func(Q) string, do func(context.Context, Q) (A, error), isIdempotent bool) func(context.Context, Q) (A, error) {
+	anywhere := func(ctx context.Context, q Q) (A, error) {
 		var none A
 		if now := c.council(); now.self == nil && len(now.members) == 0 {
-			return none, fail.New(fail.NotFounded, "the four founders have not all met")
+			return none, fail.New(fail.NotFounded, "the founders have not all met")
 		} else if now.self == nil {
 			return none, fail.New(fail.NoMember, "%s is no member", c.place.Name)
 		}
@@ -219,7 +252,10 @@
 			return again, failure
 		}
 		return none, fail.New(fail.Undecided, "the owner %s did not answer: %v", owner, err)
-	}))
+	}
+	mux.Handle("POST /own/"+name, link.Serve(c.place.Fleet, do))
+	mux.Handle("POST /op/"+name, link.Serve(c.place.Fleet, anywhere))
+	return anywhere
 }
 
 func (c *Core) addressOf(name string) string {
@@ -231,6 +267,13 @@
 	return ""
 }
 
+func (c *Core) linkWait() time.Duration {
+	if c.options.LinkWait > 0 {
+		return c.options.LinkWait
+	}
+	return pullWait
+}
+
 // live names the members heard lately, this one included.
 func (c *Core) live() []string {
 	c.mu.Lock()
@@ -258,7 +301,7 @@
 	for _, m := range now.members {
 		if m.Incarnation != c.incarnation && c.followers[m.Name] == nil {
 			f := link.NewFollower(link.FollowerOptions{
-				Wire: c.wire, Address: m.Address, Path: "/core/whole", Wait: pullWait, News: takeHolds(c.table),
+				Wire: c.wire, Address: m.Address, Path: "/core/whole", Wait: c.linkWait(), News: takeHolds(c.table),
 				Ask: func() link.Ask { return link.Ask{Name: c.place.Name, Role: "core"} },
 			})
 			c.followers[m.Name] = f
@@ -286,6 +329,9 @@
 	}
 	c.settleLate(ctx)
 	c.carry(ctx)
+	if c.options.IsSelfAdmitting {
+		c.tendMembers(ctx)
+	}
 	c.listProxies()
 	c.table.Prune(time.Hour)
 }
--- /dev/null
+++ b/daemon/declare.go
@@ -0,0 +1,151 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/fail"
+	"asterridge/link"
+	"asterridge/register"
+)
+
+// orderDeclaration takes a numbered configuration (§2.9). The same one again is answered as it was the first time.
+func (c *Core) orderDeclaration(ctx context.Context, d blueprint.Declaration) (Accepted, error) {
+	stamp, err := c.owner.Change(ctx, blueprint.Key, func(now register.Fields, version uint64) (register.Fields, error) {
+		change, err := blueprint.Declare(now, version, d)
+		if err == nil && len(change) > 0 && now["hold"] == nil && c.options.Hold != nil {
+			change.Apply(blueprint.Field("hold", c.options.Hold))
+		}
+		return change, err
+	})
+	c.note("declaration", blueprint.Key, stamp, err)
+	return Accepted{stamp.Version}, err
+}
+
+// Declare takes a numbered configuration to the blueprint's owner; nil error means that a majority has it.
+func (c *Core) Declare(ctx context.Context, d blueprint.Declaration) error {
+	_, err := c.declare(ctx, d)
+	return err
+}
+
+// Declared gives the newest accepted configuration: no older one than any that was accepted before the call.
+func (c *Core) Declared(ctx context.Context) (number uint64, texts []blueprint.Text, err error) {
+	newest, err := c.resolve(ctx, SettleOrder{Key: blueprint.Key, IsCarry: true})
+	if err != nil {
+		return 0, nil, err
+	}
+	record, err := c.awaitStamp(ctx, blueprint.Key, newest.Stamp)
+	if err != nil {
+		return 0, nil, err
+	}
+	return blueprint.Number(record.Fields), blueprint.Texts(record.Fields), nil
+}
+
+// awaitStamp waits a short while until this core's disk has a key's version.
+func (c *Core) awaitStamp(ctx context.Context, key string, stamp register.Stamp) (register.Record, error) {
+	short, stop := context.WithTimeout(ctx, majorityWait)
+	defer stop()
+	for {
+		record := c.keeper.Read(key)
+		if !record.Stamp.Less(stamp) {
+			return record, nil
+		}
+		if err := link.Pause(short, beatTime/10); err != nil {
+			return record, fail.Wrap(err, fail.Behind, key)
+		}
+	}
+}
+
+// ModelOrder names a version of a model, which its replicas are to load.
+type ModelOrder struct {
+	Model   string `json:"model"`
+	Version uint64 `json:"version"`
+}
+
+func (c *Core) orderModel(ctx context.Context, o ModelOrder) (Accepted, error) {
+	if o.Model == "" || o.Version == 0 {
+		return Accepted{}, fail.New(fail.Missing, "a model's version needs the model and a number from 1")
+	}
+	stamp, err := c.owner.Change(ctx, blueprint.ModelsKey, func(now register.Fields, _ uint64) (register.Fields, error) {
+		var before blueprint.Model
+		if json.Unmarshal(now[o.Model], &before) == nil && before.Version >= o.Version {
+			return nil, nil // named already
+		}
+		return blueprint.Field(o.Model, blueprint.Model{Version: o.Version}), nil
+	})
+	c.note("model", blueprint.ModelsKey, stamp, err)
+	return Accepted{stamp.Version}, err
+}
+
+// Name takes a model's version to the owner; nil error means that a majority has it.
+func (c *Core) Name(ctx context.Context, o ModelOrder) error {
+	_, err := c.name(ctx, o)
+	return err
+}
+
+// silentTime is how long a member may be silent before it gives way to one that came to its zone.
+const silentTime = 3 * time.Second
+
+// tendMembers admits strangers and retires members that are lost, one change at a time (§2.8). Only the member that would own the list tries;
+// every guard of the order itself stands.
+func (c *Core) tendMembers(ctx context.Context) {
+	record := c.keeper.Read(blueprint.MembersKey)
+	if record.Fields[carryField] != nil || !record.IsSettled() || register.Draw(blueprint.MembersKey, c.live()) != c.place.Name {
+		return
+	}
+	members, _, _ := readMembers(record.Fields)
+	order, isWanted := c.nextMember(members)
+	if !isWanted || !c.tending.TryLock() {
+		return
+	}
+	go func() {
+		defer c.tending.Unlock()
+		short, stop := context.WithTimeout(ctx, 2*majorityWait)
+		defer stop()
+		_, _ = c.orderMembers(short, order) // logged there; the next beat looks again
+	}()
+}
+
+// isSilent says whether a member has not been heard for so long; c.mu is held.
+func (c *Core) isSilent(m blueprint.Member, so time.Duration) bool {
+	f := c.followers[m.Name]
+	return m.Incarnation != c.incarnation && f != nil && time.Since(f.FreshOf(m.Incarnation)) >= so
+}
+
+// nextMember gives the change of members that is due.
+func (c *Core) nextMember(members []blueprint.Member) (MembersOrder, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range c.strangers {
+		if time.Since(s.at) > strangerTime/3 {
+			continue
+		}
+		isMember, isClash := false, ""
+		for _, m := range members {
+			isMember = isMember || m.Incarnation == s.Incarnation
+			if m.Name == s.Name || m.Address == s.Address {
+				isClash = m.Name
+			}
+		}
+		switch {
+		case isMember:
+		case isClash != "":
+			return MembersOrder{Do: "retire", Name: isClash, Lost: s.Incarnation}, true
+		case s.HasImage:
+			return MembersOrder{Do: "admit", Name: s.Name}, true
+		}
+	}
+	for _, m := range members {
+		if !c.isSilent(m, silentTime) {
+			continue
+		}
+		for _, newer := range members {
+			if newer.For == m.Name {
+				return MembersOrder{Do: "retire", Name: m.Name}, true
+			}
+		}
+	}
+	return MembersOrder{}, false
+}
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -63,14 +63,21 @@
 	late    map[string]lateness // by pool
 }
 
+func (c *Core) newSeat(duty string) *term.Seat {
+	return term.New(term.Options{Duty: duty, Holder: c.place.Name + "." + c.incarnation + "." + c.whole.Run(), Length: termLength,
+		Margin: termLength / 8, Board: board{c}, Log: c.place.Log})
+}
+
 // runDuties steps this core's seats, and does the duties that it holds.
 func (c *Core) runDuties(ctx context.Context) {
 	r := &rollout{core: c, dialect: router.ChatDialect{}, late: map[string]lateness{},
 		plain: newPlain(c.place.Net),
-		seat: term.New(term.Options{Duty: "rollout", Holder: c.place.Name + "." + c.incarnation + "." + c.whole.Run(), Length: termLength,
-			Margin: termLength / 8, Board: board{c}, Log: c.place.Log}),
+		seat:  c.newSeat("rollout"),
 	}
 	go every(ctx, c.options.ClaimAge/20, func() { c.pruneClaims(ctx) })
+	if c.options.Backend != nil {
+		return // its replicas take their orders from the loader
+	}
 	go every(ctx, termLength/5, func() {
 		if c.council().self != nil {
 			r.seat.Step(ctx)
--- a/daemon/found.go
+++ b/daemon/found.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"sort"
+	"sync"
 	"time"
 
 	"asterridge/blueprint"
@@ -61,20 +63,19 @@
 			}
 			return
 		}
+		founders := c.place.Founders
+		if founders == nil {
+			founders = append([]string{c.place.Address}, c.place.Seeds...)
+		}
+		isFounder := !c.place.IsFounded && slices.Contains(founders, c.place.Address)
 		met := map[string]string{c.place.Address: c.incarnation}
 		hellos := []Hello{{Name: c.place.Name, Address: c.place.Address, Zone: c.place.Zone, Incarnation: c.incarnation}}
-		for _, seed := range c.place.Seeds {
-			short, stop := context.WithTimeout(ctx, time.Second)
-			h, err := link.Call[Hello](short, c.wire, seed, "/core/hello", Hello{})
-			stop()
-			if err != nil {
-				continue
-			}
+		for h := range c.askAround(ctx, founders) {
 			if len(h.Members) > 0 {
 				c.adoptMembers(h.Members)
 				return
 			}
-			if h.Role == "core" {
+			if h.Role == "core" && slices.Contains(founders, h.Address) {
 				met[h.Address] = h.Incarnation
 				hellos = append(hellos, h)
 			}
@@ -82,7 +83,7 @@
 		c.mu.Lock()
 		c.met = met
 		c.mu.Unlock()
-		if len(met) != len(c.place.Seeds)+1 {
+		if !isFounder || len(met) != len(founders) {
 			return
 		}
 		for _, h := range hellos[1:] {
@@ -124,13 +125,45 @@
 	c.learnMembers()
 }
 
+// askAround says hello to the founders, the seeds and all that the ring has heard of, at once; who is silent holds up nobody for longer
+// than a second.
+func (c *Core) askAround(ctx context.Context, founders []string) <-chan Hello {
+	asked := slices.Concat(founders, c.place.Seeds)
+	for _, d := range c.ring.All()[1:] {
+		asked = append(asked, d.Address)
+	}
+	slices.Sort(asked)
+	return c.helloAll(ctx, slices.Compact(asked), Hello{})
+}
+
+// helloAll says hello to all at once; the channel closes after the last answer.
+func (c *Core) helloAll(ctx context.Context, addresses []string, own Hello) <-chan Hello {
+	answers := make(chan Hello, len(addresses))
+	var all sync.WaitGroup
+	for _, address := range addresses {
+		if address == c.place.Address {
+			continue
+		}
+		all.Go(func() {
+			short, stop := context.WithTimeout(ctx, time.Second)
+			defer stop()
+			if h, err := link.Call[Hello](short, c.wire, address, "/core/hello", own); err == nil {
+				answers <- h
+			}
+		})
+	}
+	go func() { all.Wait(); close(answers) }()
+	return answers
+}
+
 // callOnMembers makes this core known as a stranger that would be a member, and follows the list that they tell.
 func (c *Core) callOnMembers(ctx context.Context, now council) {
+	var addresses []string
 	for _, m := range now.members {
-		short, stop := context.WithTimeout(ctx, time.Second)
-		h, err := link.Call[Hello](short, c.wire, m.Address, "/core/hello", c.ownHello())
-		stop()
-		if err == nil && len(h.Members) > 0 && c.council().self == nil {
+		addresses = append(addresses, m.Address)
+	}
+	for h := range c.helloAll(ctx, addresses, c.ownHello()) {
+		if len(h.Members) > 0 && c.council().self == nil {
 			c.members.Store(&council{members: h.Members})
 		}
 	}
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -41,7 +41,8 @@
 	carryField   = "~carry" // the list before, until every key is on a majority of the new one
 	nextField    = "~next"  // the highest number that a member ever had
 	fewest       = 3
-	most         = 7
+	fewestLost   = 2 // where a disk is gone for sure: the list is the weaker for it already
+	most         = 15
 	strangerTime = 3 * time.Second
 	listWait     = 500 * time.Millisecond
 )
@@ -261,6 +262,7 @@
 type MembersOrder struct {
 	Do   string `json:"do"` // "admit" or "retire"
 	Name string `json:"name"`
+	Lost string `json:"lost,omitempty"` // the incarnation that stands at the member's place now: its disk is gone for sure
 }
 
 // orderMembers changes the list by one, under its guards.
@@ -289,7 +291,11 @@
 					live++
 				}
 			}
-			if left := len(members) - 1; left < fewest || live < left/2+1 {
+			least := fewest
+			if o.Lost != "" {
+				least = fewestLost
+			}
+			if left := len(members) - 1; left < least || live < left/2+1 {
 				return nil, fail.New(fail.OutOfRange, "%d members would be left, %d of them live: too few", left, live)
 			}
 			change[o.Name] = nil
@@ -322,7 +328,15 @@
 			return blueprint.Member{}, fail.New(fail.Exists, "member %s has this name or address: retire it first", m.Name)
 		}
 	}
-	return blueprint.Member{ID: highest + 1, Name: name, Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation}, nil
+	made := blueprint.Member{ID: highest + 1, Name: name, Address: s.Address, Zone: s.Zone, Incarnation: s.Incarnation}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range members {
+		if m.Zone == s.Zone && c.isSilent(m, liveTime) {
+			made.For = m.Name
+		}
+	}
+	return made, nil
 }
 
 // carry has every key settled on a majority of the new list, and then says so in the list; only then may it change again (§2.8).
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -34,6 +34,9 @@
 		if o.Expect != nil && *o.Expect != version {
 			return nil, fail.New(fail.Conflict, "expected version %d, present is %d", *o.Expect, version)
 		}
+		if number := blueprint.Number(now); number > 0 {
+			return nil, fail.New(fail.Conflict, "this fleet is declared by numbered configurations, present is %d", number)
+		}
 		base, err := blueprint.FromFields(now)
 		if err != nil {
 			return nil, err
@@ -105,12 +108,11 @@
 	if err != nil {
 		return 0, err
 	}
-	for c.keeper.Stamp(blueprint.Key).Less(newest.Stamp) {
-		if err := link.Pause(short, beatTime/10); err != nil {
-			return 0, fail.Wrap(err, fail.Behind, "the blueprint")
-		}
+	record, err := c.awaitStamp(short, blueprint.Key, newest.Stamp)
+	if err != nil {
+		return 0, err
 	}
-	plan, err := blueprint.FromFields(c.keeper.Read(blueprint.Key).Fields)
+	plan, err := blueprint.FromFields(record.Fields)
 	if err != nil {
 		return 0, err
 	}
--- a/daemon/proxy.go
+++ b/daemon/proxy.go
@@ -6,14 +6,15 @@
 	"net/http"
 	"time"
 
+	"asterridge/link"
 	"asterridge/router"
 )
 
 // Proxy is the thin daemon over the router library.
 type Proxy struct {
-	Router *router.Router
-	place  Place
-	grace  time.Duration
+	Router  *router.Router
+	place   Place
+	options ProxyOptions
 }
 
 // ProxyOptions of a proxy.
@@ -24,13 +25,29 @@
 	Seed  uint64
 	Index int
 	Room  int64 // bytes of callers' bodies held at a time
+	// Linger is how long a stopping proxy, unready already, goes on taking requests: callers are still led to it for as long.
+	Linger     time.Duration
+	Dialect    router.Dialect
+	OldWeights time.Duration
+	RetrySlack float64
+	AgentWait  time.Duration
+	KeepAlive  time.Duration
+	HeaderTime time.Duration // for a request's headers to come; 0: 10 s
+	IdleTime   time.Duration // an idle connection of a caller is kept so long; 0: 2 min
 }
 
 // NewProxy makes a proxy.
 func NewProxy(place Place, options ProxyOptions) *Proxy {
-	return &Proxy{place: place, grace: options.Grace, Router: router.New(router.Options{
+	if options.HeaderTime == 0 {
+		options.HeaderTime = 10 * time.Second
+	}
+	if options.IdleTime == 0 {
+		options.IdleTime = 2 * time.Minute
+	}
+	return &Proxy{place: place, options: options, Router: router.New(router.Options{
 		Name: place.Name, Zone: place.Zone, Fleet: place.Fleet, Agent: options.Agent, Admin: options.Admin,
 		Net: place.Net, Log: place.Log, Seed: options.Seed, Index: options.Index, Room: options.Room, Clock: place.Clock,
+		Dialect: options.Dialect, OldWeights: options.OldWeights, RetrySlack: options.RetrySlack, AgentWait: options.AgentWait, KeepAlive: options.KeepAlive,
 	})}
 }
 
@@ -43,8 +60,8 @@
 	mux.Handle("/", p.Router.Admin())
 	serveMetrics(mux, proxyFigures(p.Router))
 	go func() { _ = serve(running, admin, mux, time.Second) }()
-	server := &http.Server{Handler: p.Router.Handler(), ReadHeaderTimeout: 10 * time.Second,
-		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10}
+	server := &http.Server{Handler: p.Router.Handler(), ReadHeaderTimeout: p.options.HeaderTime,
+		IdleTimeout: p.options.IdleTime, MaxHeaderBytes: 64 << 10}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(callers) }()
 	p.place.Log.Info().Str("event", "proxy_up").Str("address", p.place.Address).Msg("")
@@ -53,8 +70,13 @@
 		return err
 	case <-ctx.Done():
 	}
-	last, end := context.WithTimeout(running, p.grace)
+	last, end := context.WithTimeout(running, p.options.Grace)
 	defer end()
+	p.Router.Leave()
+	if p.options.Linger > 0 {
+		server.SetKeepAlivesEnabled(false) // each answer ends its connection
+		_ = link.Pause(last, p.options.Linger)
+	}
 	p.Router.Stop(last)
 	if server.Shutdown(last) != nil {
 		_ = server.Close()
--- a/daemon/ring.go
+++ b/daemon/ring.go
@@ -29,9 +29,13 @@
 
 // newRing makes a daemon's place on the ring and opens its endpoints.
 func newRing(place Place, role string, wire *link.Wire) *ring.Ring {
+	step := place.RingStep
+	if step == 0 {
+		step = ringStep
+	}
 	return ring.New(ring.Options{
 		Self:  ring.Daemon{Name: place.Name, Role: role, Zone: place.Zone, Address: place.Address},
-		Seeds: place.Seeds, Calls: ringCalls{wire}, Step: ringStep, Watchers: watchers, Log: place.Log, Seed: register.Weight("seed", place.Name),
+		Seeds: place.Seeds, Calls: ringCalls{wire}, Step: step, Watchers: watchers, Log: place.Log, Seed: register.Weight("seed", place.Name),
 	})
 }
 
--- a/link/wire.go
+++ b/link/wire.go
@@ -28,6 +28,37 @@
 // TCP is the machine's own network.
 type TCP struct{ net.Dialer }
 
+// What bounds a connection whose other end says nothing any more.
+const (
+	dialTime   = time.Second
+	silentTime = 3 * time.Second
+)
+
+// DialContext connects; a dead other end is noticed in bounded time.
+func (t *TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	ctx, stop := context.WithTimeout(ctx, dialTime)
+	defer stop()
+	c, err := t.Dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if err := control(c, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTime.Milliseconds())); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// control sets one of a socket's options.
+func control(c net.Conn, level, option, value int) error {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return fail.Wrap(err, fail.Internal, "socket")
+	}
+	failed := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), level, option, value) })
+	return fail.Wrap(errors.Join(failed, err), fail.Internal, "socket option")
+}
+
 // Listen opens a TCP port.
 func (*TCP) Listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
@@ -48,14 +79,7 @@
 	if err := socket.SetWriteBuffer(buffer); err != nil {
 		return fail.Wrap(err, fail.Internal, "send buffer")
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return fail.Wrap(err, fail.Internal, "socket")
-	}
-	failed := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
-	})
-	return fail.Wrap(errors.Join(failed, err), fail.Internal, "user timeout")
+	return control(socket, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledged.Milliseconds()))
 }
 
 // Wire calls the other daemons of one fleet.
@@ -134,7 +158,7 @@
 func EncodeFailure(_ context.Context, err error, w http.ResponseWriter) {
 	f := fail.Of(err)
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	if f.Again > 0 {
+	if f.Again > 0 && w.Header().Get("Retry-After") == "" {
 		w.Header().Set("Retry-After", RetryAfter(f.Again))
 	}
 	w.WriteHeader(f.Code.Status)
--- a/prompt/prompt.go
+++ b/prompt/prompt.go
@@ -49,8 +49,28 @@
 	return chain
 }
 
+// Block is a piece of a prompt: the key under which replicas keep it, and its size in bytes or tokens.
+type Block struct {
+	Key  string
+	Size int
+}
+
+// Whole is what a replica keeps of a block that it keeps all of.
+const Whole = 0
+
+// TextBlocks gives the blocks of a prompt that is known as text.
+func TextBlocks(domain, text string) []Block {
+	keys := Blocks(domain, text)
+	blocks := make([]Block, len(keys))
+	for i, key := range keys {
+		blocks[i] = Block{key, Covered(i+1) - Covered(i)}
+	}
+	return blocks
+}
+
 type item struct {
 	block, replica string
+	kept           int // of the block; Whole
 	at             time.Time
 }
 
@@ -72,16 +92,20 @@
 	})}
 }
 
-// Learn notes that a replica keeps these blocks.
-func (x *Index) Learn(replica string, blocks []string) {
-	now := time.Now()
-	x.mu.Lock()
-	defer x.mu.Unlock()
+// Learn notes that a replica keeps these blocks whole.
+func (x *Index) Learn(replica string, blocks []Block) {
 	for _, block := range blocks {
-		it := &item{block, replica, now}
-		x.tree.ReplaceOrInsert(it)
-		x.line = append(x.line, it)
+		x.Note(replica, block.Key, Whole)
 	}
+}
+
+// Note notes how much of a block a replica keeps.
+func (x *Index) Note(replica, key string, kept int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	it := &item{key, replica, kept, time.Now()}
+	x.tree.ReplaceOrInsert(it)
+	x.line = append(x.line, it)
 	for len(x.line) > 0 && (x.tree.Len() > x.most || len(x.line) > 4*x.most) {
 		old := x.line[0]
 		x.line = x.line[1:]
@@ -113,25 +137,35 @@
 	}
 }
 
-// Kept gives, by replica, how many of the chain's leading blocks are thought to be kept.
-func (x *Index) Kept(chain []string) map[string]int {
+// Kept gives, by replica, how much of the chain's beginning is thought to be kept: what follows a gap does not count.
+func (x *Index) Kept(chain []Block) map[string]int {
 	kept := map[string]int{}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for i, block := range chain {
+	before := 0 // what a replica has that keeps all blocks up to here
+	for _, block := range chain {
 		isAny := false
-		x.tree.AscendGreaterOrEqual(&item{block: block}, func(it *item) bool {
-			if it.block != block {
+		x.tree.AscendGreaterOrEqual(&item{block: block.Key}, func(it *item) bool {
+			if it.block != block.Key {
 				return false
 			}
-			if kept[it.replica] == i {
-				kept[it.replica], isAny = i+1, true
+			if kept[it.replica] != before {
+				return true
+			}
+			size := block.Size
+			if it.kept != Whole {
+				size = min(size, it.kept)
+			}
+			if size > 0 {
+				kept[it.replica] = before + size
 			}
+			isAny = isAny || size == block.Size
 			return true
 		})
 		if !isAny {
 			break
 		}
+		before += block.Size
 	}
 	return kept
 }
--- a/prompt/prompt_test.go
+++ b/prompt/prompt_test.go
@@ -29,26 +29,50 @@
 	is.Equal(len(Blocks("d", strings.Repeat("l", 9<<20))), MostBlocks)
 }
 
+func blocks(keys ...string) (all []Block) {
+	for _, key := range keys {
+		all = append(all, Block{key, 1})
+	}
+	return all
+}
+
+// Counts leading blocks, as before; a block now has a size, here 1 each.
 func TestIndexIsBoundedAndCountsLeadingBlocks(t *testing.T) {
 	is := is.New(t)
 	x := NewIndex(100)
-	chain := []string{"a", "b", "c", "d"}
+	chain := blocks("a", "b", "c", "d")
 	x.Learn("r1", chain)
 	x.Learn("r2", chain[:2])
-	x.Learn("r3", []string{"b", "c"}) // without the first it is no prefix
+	x.Learn("r3", blocks("b", "c")) // without the first it is no prefix
 	is.Equal(x.Kept(chain), map[string]int{"r1": 4, "r2": 2})
 	x.Forget("r1", []string{"b"}) // late or lost news: what follows a gap does not count
 	is.Equal(x.Kept(chain), map[string]int{"r1": 1, "r2": 2})
 	x.Forget("r2", nil)
 	is.Equal(x.Kept(chain), map[string]int{"r1": 1})
 	for i := range 1000 {
-		x.Learn("r4", []string{fmt.Sprint(i)})
-		x.Learn("r4", []string{"kept"}) // renewed again and again
+		x.Learn("r4", blocks(fmt.Sprint(i)))
+		x.Learn("r4", blocks("kept")) // renewed again and again
 	}
 	is.True(x.Len() <= 100)
-	is.Equal(x.Kept([]string{"kept"})["r4"], 1) // what is renewed outlives what is old
-	is.Equal(x.Kept([]string{"a"})["r1"], 0)
+	is.Equal(x.Kept(blocks("kept"))["r4"], 1) // what is renewed outlives what is old
+	is.Equal(x.Kept(blocks("a"))["r1"], 0)
 	none := NewIndex(0)
 	none.Learn("r1", chain)
 	is.Equal(none.Len(), 0)
 }
+
+// A part of which only the beginning is kept counts with that, and what follows it does not count.
+func TestPartsCountBySizeUpToTheFirstThatIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	x := NewIndex(100)
+	chain := []Block{{"s/a", 800}, {"s/b", 410}, {"s/c", 250}}
+	x.Learn("r1", chain)
+	x.Note("r2", "s/a", 800)
+	x.Note("r2", "s/b", 128)
+	x.Learn("r2", chain[2:])
+	x.Note("r3", "s/a", 16)
+	is.Equal(x.Kept(chain), map[string]int{"r1": 1460, "r2": 928, "r3": 16})
+	x.Note("r1", "s/b", 0) // Whole
+	x.Forget("r1", []string{"s/a"})
+	is.Equal(x.Kept(chain), map[string]int{"r2": 928, "r3": 16})
+}
--- a/router/dialect.go
+++ b/router/dialect.go
@@ -5,19 +5,61 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"asterridge/fail"
+	"asterridge/link"
 	"asterridge/prompt"
 )
 
-// Prompt is what the router reads of a caller's body.
+// Opening is what a dialect reads of a caller's request before its body.
+type Opening struct {
+	ID     string        // the caller's own id of this attempt; empty: the router gives one
+	Secret string        // the access key
+	Key    string        // under which the request runs once, if the caller gives one
+	Wait   time.Duration // how long the caller will wait; 0: as long as the path lets it
+	Repeat string        // "yes" or "no" where the caller says whether the request may run more than once
+	Last   uint64        // of a stream that the caller takes up again: the last event that it has
+}
+
+// Prompt is what the router reads of a request's prompt: its text, or the parts that it is made of.
 type Prompt struct {
 	Model    string
 	Text     string
+	Parts    []Part
 	IsStream bool
 }
 
+// Part is a piece of a prompt that may be shared with others; Size is in the replicas' own units.
+type Part struct {
+	ID   string
+	Size int
+}
+
+// Size is the whole prompt's.
+func (p Prompt) Size() int {
+	if p.Parts == nil {
+		return len(p.Text)
+	}
+	sum := 0
+	for _, part := range p.Parts {
+		sum += part.Size
+	}
+	return sum
+}
+
+// Sending is what a dialect tells a replica with a request.
+type Sending struct {
+	Domain  string // of kept prompts
+	Weights string // the version that the replica is to have; empty: any
+	Source  string // where the replica may fetch what it lacks of the prompt
+	Sink    string // where it is to leave what it has read
+	Left    time.Duration
+	Last    uint64 // the stream goes on behind this event; 0: from its beginning
+}
+
 // Verdict is what a replica's answer means.
 type Verdict struct {
 	IsServed bool
@@ -29,13 +71,23 @@
 	Reason   string
 }
 
-// Dialect is the one place that knows how replicas speak.
+// Dialect is the one place that knows how callers and replicas speak.
 type Dialect interface {
-	Read(body []byte, address string) (Prompt, error)
-	Dress(h http.Header, x *Exchange, domain, weights, source string)
+	Open(q *http.Request) (Opening, error)
+	Read(q *http.Request, body []byte) (Prompt, error)
+	Dress(h http.Header, x *Exchange, s Sending)
 	Judge(r *http.Response) Verdict
+	// Occupancy is what an answer tells of the replica's load; Version, of its model's version; 0: nothing.
+	Occupancy(r *http.Response) (Occupancy, bool)
+	Version(r *http.Response) uint64
 	AnswerID(r *http.Response) string
-	IsEnd(tail []byte) bool
+	// IDHeader is the header by which our own answers bear the request's id.
+	IDHeader() string
+	// RetryAfter writes when to come back.
+	RetryAfter(d time.Duration) string
+	// IsEnd looks for a stream's own end mark; nil where its framing tells the end.
+	IsEnd() func(tail []byte) bool
+	// ReportPath is where replicas tell their load; empty: they do not, and the core's word for them counts.
 	ReportPath() string
 	LoadPath() string
 }
@@ -61,9 +113,26 @@
 	} `json:"messages"`
 }
 
+// Open reads the headers.
+func (ChatDialect) Open(q *http.Request) (o Opening, err error) {
+	word, isBearer := strings.CutPrefix(q.Header.Get("Authorization"), "Bearer ")
+	if !isBearer {
+		return o, fail.New(fail.BadKey, "no bearer key")
+	}
+	o = Opening{Secret: word, Key: q.Header.Get("Idempotency-Key"), Repeat: q.Header.Get("X-Repeatable")}
+	if text := q.Header.Get("X-Deadline-Ms"); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil || ms < 1 {
+			return o, fail.New(fail.OutOfRange, "X-Deadline-Ms %q", text)
+		}
+		o.Wait = time.Duration(ms) * time.Millisecond
+	}
+	return o, nil
+}
+
 // Read finds the model, the prompt's text, and whether a stream is wanted. Other addresses carry no prompt.
-func (ChatDialect) Read(body []byte, address string) (Prompt, error) {
-	if !strings.HasSuffix(address, "/chat/completions") {
+func (ChatDialect) Read(q *http.Request, body []byte) (Prompt, error) {
+	if !strings.HasSuffix(q.URL.Path, "/chat/completions") {
 		return Prompt{}, nil
 	}
 	var b chatBody
@@ -85,8 +154,8 @@
 }
 
 // Dress puts the router's words to the replica on a request.
-func (ChatDialect) Dress(h http.Header, x *Exchange, domain, weights, source string) {
-	for _, ours := range []string{domainHeader, weightsHeader, sourceHeader} {
+func (ChatDialect) Dress(h http.Header, x *Exchange, s Sending) {
+	for _, ours := range []string{"Authorization", domainHeader, weightsHeader, sourceHeader} {
 		h.Del(ours) // a caller does not say them for us
 	}
 	h.Set(idHeader, x.ID)
@@ -96,15 +165,27 @@
 		key = x.ID
 	}
 	h.Set("Idempotency-Key", x.Tenant.Name+":"+key)
-	if weights != "" {
-		h.Set(domainHeader, domain)
-		h.Set(weightsHeader, weights)
-		if source != "" {
-			h.Set(sourceHeader, source)
+	if s.Weights != "" {
+		h.Set(domainHeader, s.Domain)
+		h.Set(weightsHeader, s.Weights)
+		if s.Source != "" {
+			h.Set(sourceHeader, s.Source)
 		}
 	}
 }
 
+// Occupancy is told in reports.
+func (ChatDialect) Occupancy(*http.Response) (Occupancy, bool) { return Occupancy{}, false }
+
+// Version is told in reports.
+func (ChatDialect) Version(*http.Response) uint64 { return 0 }
+
+// IDHeader bears the request's id.
+func (ChatDialect) IDHeader() string { return idHeader }
+
+// RetryAfter writes whole seconds, rounded up.
+func (ChatDialect) RetryAfter(d time.Duration) string { return link.RetryAfter(d) }
+
 // Judge reads the status; a refusal's body has {"error":{"type":…}}.
 func (ChatDialect) Judge(r *http.Response) Verdict {
 	if r.StatusCode != 429 && r.StatusCode != 503 && r.StatusCode != 412 {
@@ -136,8 +217,8 @@
 func (ChatDialect) AnswerID(r *http.Response) string { return r.Header.Get(idHeader) }
 
 // IsEnd looks for the event stream's end mark.
-func (ChatDialect) IsEnd(tail []byte) bool {
-	return bytes.HasSuffix(bytes.TrimRight(tail, "\r\n"), []byte("data: [DONE]"))
+func (ChatDialect) IsEnd() func(tail []byte) bool {
+	return func(tail []byte) bool { return bytes.HasSuffix(bytes.TrimRight(tail, "\r\n"), []byte("data: [DONE]")) }
 }
 
 // ReportPath is where a replica tells its load.
--- a/router/draw_test.go
+++ b/router/draw_test.go
@@ -24,7 +24,7 @@
 	}
 	peer, store := made("peer", nil), made("store", nil)
 	v := &View{stores: []*replica{store}}
-	kept := map[string]int{"peer": 20, "store": 40}
+	kept := map[string]int{"peer": 20 * prompt.Fine, "store": 40 * prompt.Fine} // in bytes, as the index counts now
 	for _, c := range []struct {
 		name   string
 		fetch  map[string]float64
@@ -34,9 +34,9 @@
 		{"nothing measured: the one that keeps most is tried", nil, kept, "store:1"},
 		{"the store is slow: the peer's half", map[string]float64{"store": 30, "peer": 900}, kept, "peer:1"},
 		{"all links are slow: read anew", map[string]float64{"store": 30, "peer": 30}, kept, ""},
-		{"the store came back empty", map[string]float64{"store": 900, "peer": 900}, map[string]int{"peer": 20}, "peer:1"},
+		{"the store came back empty", map[string]float64{"store": 900, "peer": 900}, map[string]int{"peer": 20 * prompt.Fine}, "peer:1"},
 		{"no news of anybody", nil, nil, ""},
-		{"it keeps as much itself", nil, map[string]int{"own": 40, "store": 40}, ""},
+		{"it keeps as much itself", nil, map[string]int{"own": 40 * prompt.Fine, "store": 40 * prompt.Fine}, ""},
 	} {
 		own := made("own", c.fetch)
 		p := &pool{replicas: []*replica{own, peer}}
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -8,6 +8,7 @@
 
 	"asterridge/backlog"
 	"asterridge/fail"
+	"asterridge/prompt"
 )
 
 // State of a request (docs/design.md §5.1).
@@ -95,17 +96,32 @@
 	Shot         int
 	State        State
 	Answer       *Answer
+	Pool         *pool  // that the path's split gave it
+	Last         uint64 // of a stream that is taken up: the last event that the caller has
 
 	door      *door
-	chains    map[string][]string
+	chains    map[string][]prompt.Block
 	item      backlog.Item
 	replica   *replica
 	weights   string
 	source    string
+	sink      string
+	work      int64 // what the replica had to read of the prompt when it was drawn, until its first piece
+	unsent    int   // draws whose request was not written
 	isClaimed bool
 	isSent    bool // some shot may have run
 }
 
+// Replica names the replica that the request is sent to.
+func (x *Exchange) Replica() string { return x.replica.Name }
+
+// end finishes an answer, once.
+func (a *Answer) end(err error) {
+	finish := a.finish
+	a.finish = func(error) {}
+	finish(err)
+}
+
 // Answer is a replica's answer whose first piece is here.
 type Answer struct {
 	Status int
--- a/router/filters.go
+++ b/router/filters.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
-	"strings"
 	"time"
 
 	"asterridge/blueprint"
@@ -37,7 +35,7 @@
 // decode makes an exchange of a caller's request; the body is read later, when its bound is known.
 func (r *Router) decode(ctx context.Context, q *http.Request) (any, error) {
 	door := ctx.Value(doorName{}).(*door)
-	return &Exchange{ID: door.id, Request: q, Received: time.Now(), door: door}, nil
+	return &Exchange{ID: door.id, Request: q, Received: time.Now(), Last: door.opening.Last, door: door}, nil
 }
 
 // Handle bounces new work while this router cannot prove that it is current, or stops.
@@ -65,16 +63,26 @@
 
 // Handle finds the tenant by the access key.
 func (f identityFilter) Handle(ctx context.Context, x *Exchange, onward func(context.Context, *Exchange) error) error {
-	word, isBearer := strings.CutPrefix(x.Request.Header.Get("Authorization"), "Bearer ")
-	if !isBearer {
-		return fail.New(fail.BadKey, "no bearer key")
+	x.View, x.Access = f.r.view.Load(), blueprint.HashKey(x.door.opening.Secret)
+	x.Tenant = x.View.tenantOf(x)
+	switch {
+	case x.Tenant != nil && (x.door.failure == nil || x.Tenant == x.View.public):
+		return onward(ctx, x)
+	case x.door.failure != nil:
+		return x.door.failure
+	}
+	return fail.New(fail.BadKey, "unknown or revoked key")
+}
+
+// tenantOf gives the tenant that holds the request's key, or everybody's where none is needed.
+func (v *View) tenantOf(x *Exchange) *tenant {
+	if t := v.access[x.Access]; t != nil {
+		return t
 	}
-	x.View, x.Access = f.r.view.Load(), blueprint.HashKey(word)
-	x.Tenant = x.View.access[x.Access]
-	if x.Tenant == nil {
-		return fail.New(fail.BadKey, "unknown or revoked key")
+	if v.isPublic(x.Request.Host, x.Request.URL.Path, x.Prompt.Model) {
+		return v.public
 	}
-	return onward(ctx, x)
+	return nil
 }
 
 // Handle reads the body within bounds, and finds the path.
@@ -85,26 +93,26 @@
 		return err
 	}
 	x.Body = body
-	if x.Prompt, err = f.r.options.Dialect.Read(body, q.URL.Path); err != nil {
+	if x.Prompt, err = f.r.options.Dialect.Read(q, body); err != nil {
 		return err
 	}
 	if err := x.lead(x.View); err != nil {
 		return err
 	}
-	if len(body) > x.Path.MaxBody {
-		return fail.New(fail.Oversize, "%d bytes, at most %d", len(body), x.Path.MaxBody)
+	most := x.Path.MaxBody
+	if bound := x.View.limits.BodyBytes; bound > 0 {
+		most = bound
+	}
+	if len(body) > most {
+		return fail.New(fail.Oversize, "%d bytes, at most %d", len(body), most)
 	}
-	x.Key = q.Header.Get("Idempotency-Key")
+	x.Key = x.door.opening.Key
 	if len(x.Key) > 256 {
 		return fail.New(fail.Oversize, "an idempotency key of %d bytes", len(x.Key))
 	}
 	wait := time.Duration(x.Path.DeadlineMs) * time.Millisecond
-	if text := q.Header.Get("X-Deadline-Ms"); text != "" {
-		ms, err := strconv.Atoi(text)
-		if err != nil || ms < 1 {
-			return fail.New(fail.OutOfRange, "X-Deadline-Ms %q", text)
-		}
-		wait = min(wait, time.Duration(ms)*time.Millisecond)
+	if given := x.door.opening.Wait; given > 0 {
+		wait = min(wait, given)
 	}
 	x.Deadline = x.Received.Add(wait)
 	x.item.Deadline, x.item.Body = x.Deadline, x
@@ -113,24 +121,24 @@
 
 // lead takes a view's word for what becomes of the request: its tenant, path, pool and place among others. A request that waited is led anew.
 func (x *Exchange) lead(v *View) error {
-	t := v.access[x.Access]
+	t := v.tenantOf(x)
 	if t == nil || x.Tenant != nil && (t.Name != x.Tenant.Name || t.Born != x.Tenant.Born) {
 		return fail.New(fail.BadKey, "the key was revoked while the request waited")
 	}
-	p := v.find(x.Request.URL.Path, x.Prompt.Model)
+	p := v.find(x.Request.Host, x.Request.URL.Path, x.Prompt.Model)
 	if p == nil {
-		return fail.New(fail.NoPath, "no path for %s and model %q", x.Request.URL.Path, x.Prompt.Model)
+		return fail.New(fail.NoPath, "no path for %s%s and model %q", x.Request.Host, x.Request.URL.Path, x.Prompt.Model)
 	}
-	x.View, x.Tenant, x.Path, x.IsRepeatable = v, t, p, p.IsRepeatable
-	switch x.Request.Header.Get("X-Repeatable") {
+	x.View, x.Tenant, x.Path, x.Pool, x.IsRepeatable = v, t, p, p.draw(x.ID), p.IsRepeatable || p.IsResumable
+	switch x.door.opening.Repeat {
 	case "yes":
 		x.IsRepeatable = true
 	case "no":
 		x.IsRepeatable = false
 	}
-	x.item.Tenant, x.item.Pool, x.item.Cost = t.index, p.pool.index, p.Cost
+	x.item.Tenant, x.item.Pool, x.item.Cost = t.index, x.Pool.index, p.Cost
 	x.item.Weight, x.item.Limit = t.Weight, t.Backlog
-	x.item.Scope = hold.Scope(t.Name, p.Pool, t.Scope == "pool")
+	x.item.Scope = hold.Scope(t.Name, x.Pool.Name, t.Scope == "pool")
 	return nil
 }
 
@@ -167,8 +175,8 @@
 		if err := r.heldTooLong(x); err != nil {
 			return err
 		}
-		if !x.Path.pool.isStaffed() {
-			return again(fail.New(fail.NoReplica, "pool %s has no replica that stays", x.Path.Pool), time.Second)
+		if !x.Pool.isStaffed() {
+			return again(fail.New(fail.NoReplica, "pool %s has no replica that stays", x.Pool.Name), time.Second)
 		}
 		err := onward(ctx, x)
 		if err == nil {
@@ -181,21 +189,51 @@
 			}
 			continue
 		}
+		var unsent errUnsent
+		if errors.As(err, &unsent) { // nothing arrived anywhere: it is not paid for
+			if x.unsent++; x.unsent > unsentMost {
+				return r.givenUp(x, unsent.cause)
+			}
+			if x.State == Submitted {
+				r.step(x, RetryWait, unsent.cause.Error())
+				r.step(x, Eligible, "again")
+			}
+			continue
+		}
 		var retry errAgain
 		if !errors.As(err, &retry) {
 			return err
 		}
-		if !r.budget.spend() {
-			r.counts.add("budget_empty", 1)
-			return r.givenUp(x, retry.cause)
+		if err := r.paySecond(x, retry.cause); err != nil {
+			return err
 		}
-		r.step(x, RetryWait, retry.cause.Error())
-		x.Shot++
-		r.counts.add("second_shots", 1)
-		r.step(x, Eligible, "again")
 	}
 }
 
+const unsentMost = 6
+
+// errUnsent is a shot of which no byte was written.
+type errUnsent struct{ cause error }
+
+func (e errUnsent) Error() string { return e.cause.Error() }
+func (e errUnsent) Unwrap() error { return e.cause }
+
+// paySecond takes a second shot from the budget and from the path's tries, and makes the request eligible again.
+func (r *Router) paySecond(x *Exchange, cause error) error {
+	if x.Path.Tries > 0 && x.Shot+1 >= x.Path.Tries {
+		return r.givenUp(x, cause)
+	}
+	if !r.budget.spend() {
+		r.counts.add("budget_empty", 1)
+		return r.givenUp(x, cause)
+	}
+	r.step(x, RetryWait, cause.Error())
+	x.Shot++
+	r.counts.add("second_shots", 1)
+	r.step(x, Eligible, "again")
+	return nil
+}
+
 // heldTooLong bounces a request at once whose hold outlasts its deadline.
 func (r *Router) heldTooLong(x *Exchange) error {
 	until := r.table.Until(x.item.Scope)
@@ -240,10 +278,11 @@
 		}
 		return again(fail.Of(err), time.Second)
 	}
-	x.replica, x.weights, x.source = c.replica, c.weights, c.source
+	x.replica, x.weights, x.source, x.sink, x.work = c.replica, c.weights, c.source, c.sink, c.work
 	isKept := false
 	defer func() {
 		if !isKept {
+			r.hasRead(x)
 			r.giveBack(c)
 			r.backlog.Wake(x.item.Pool)
 		}
--- a/router/pool.go
+++ b/router/pool.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"math"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -14,13 +17,22 @@
 	replica *replica
 	weights string
 	source  string // address of a peer or store that the replica should fetch the prefix from; "" to read it anew
+	sink    string // address of a store that it should leave the prefix at
+	work    int64  // what it has to read of the prompt
 }
 
 const (
 	reportAge   = 1500 * time.Millisecond
 	borrowMost  = 0.75 // of a replica's slots may be taken by its report, beyond one's own share
 	borrowStep  = 0.01
-	defaultRate = 4.0 // bytes of prompt per ms, until a replica tells
+	defaultRate = 4.0   // bytes of prompt per ms, until a replica tells
+	partRate    = 100.0 // units of a prompt in parts per ms, until it is learned
+	homeGain    = 20.0  // ms: the replica on which proxies without news agree for a prompt's opening
+	zoneCost    = 4.0   // ms: a replica in another zone
+	waitCost    = 40.0  // ms for each request that a replica has said to be waiting
+	seenAge     = time.Second
+	leastSample = 1000 // units of a prompt from which the reading rate is learned
+	readBase    = 25 * time.Millisecond
 	loadWeight  = 40.0
 	fetchDelay  = 5.0   // ms before the first byte of a fetched prefix
 	fetchTry    = 200.0 // bytes per ms expected of a source that was not tried yet
@@ -31,10 +43,20 @@
 )
 
 // mayServe says whether a replica may start work for the pool now (§6.1).
-func (r *Router) mayServe(p *pool, rep *replica, now time.Time) (weights string, isFit bool) {
+func (r *Router) mayServe(v *View, p *pool, rep *replica, model string, now time.Time) (weights string, isFit bool) {
 	if rep.State == "leaving" {
 		return "", false
 	}
+	if r.options.Dialect.ReportPath() == "" {
+		if !slices.Contains(p.Models, model) {
+			return "", true
+		}
+		if rep.order != nil && !rep.order.IsDone && rep.order.Model == model {
+			return "", false
+		}
+		version := rep.version(model)
+		return strconv.FormatUint(version, 10), v.models[model].allows(version, now)
+	}
 	said := rep.report.Load()
 	if said == nil || now.Sub(said.at) > reportAge || !p.allows(said.Weights, now) {
 		return "", false
@@ -49,7 +71,7 @@
 func (r *Router) draw(item *backlog.Item) (credit, bool) {
 	x := item.Body.(*Exchange)
 	v := r.view.Load()
-	p := v.pools[x.Path.Pool]
+	p := v.pools[x.Pool.Name]
 	if p == nil {
 		return credit{}, false
 	}
@@ -57,9 +79,10 @@
 	var best credit
 	var least float64
 	chains := map[string]map[string]int{}
+	homes := map[string]string{}
 	for _, rep := range p.replicas {
-		weights, isFit := r.mayServe(p, rep, now)
-		if !isFit || !r.hasRoom(rep) || now.Before(*rep.coolUntil.Load()) {
+		weights, isFit := r.mayServe(v, p, rep, x.Prompt.Model, now)
+		if !isFit || !r.hasRoom(rep, now) || now.Before(*rep.coolUntil.Load()) {
 			continue
 		}
 		domain := prompt.Domain(x.Tenant.Name, x.Tenant.Born, x.Tenant.IsWalled, weights)
@@ -67,10 +90,17 @@
 		if !isKnown && p.Kind == "model" {
 			kept = r.index.Kept(x.chain(domain))
 			chains[domain] = kept
+			homes[domain] = register.Draw(x.anchor(domain), p.names)
 		}
 		work, source := r.work(x, v, p, rep, kept)
-		cost := r.cost(rep, work)
-		if weights != p.Weights {
+		cost := r.cost(rep, work, now)
+		if rep.Zone != r.options.Zone {
+			cost += zoneCost
+		}
+		if homes[domain] == rep.Name {
+			cost -= homeGain
+		}
+		if r.isOld(v, p, x.Prompt.Model, weights) {
 			cost += oldCost
 		}
 		if r.signals.HasRefused(rep.index, x.Tenant.index) {
@@ -78,7 +108,7 @@
 		}
 		if cost < least || best.replica == nil ||
 			cost == least && register.Weight(x.anchor(domain), rep.Name) > register.Weight(x.anchor(domain), best.replica.Name) {
-			best, least = credit{rep, weights, source}, cost
+			best, least = credit{replica: rep, weights: weights, source: source, work: int64(x.Prompt.Size() - kept[rep.Name])}, cost
 		}
 	}
 	if best.replica == nil {
@@ -86,26 +116,37 @@
 	}
 	best.replica.running.Add(1)
 	best.replica.sent.Add(1)
+	best.replica.pending.Add(best.work)
 	return best, true
 }
 
+// isOld says whether a replica with these weights will be told to load others.
+func (r *Router) isOld(v *View, p *pool, name, weights string) bool {
+	if r.options.Dialect.ReportPath() != "" {
+		return weights != p.Weights
+	}
+	m := v.models[name]
+	return m != nil && weights != "" && weights != strconv.FormatUint(m.version, 10)
+}
+
+// hasRead ends a request's part in what its replica has yet to read.
+func (r *Router) hasRead(x *Exchange) {
+	x.replica.pending.Add(-x.work)
+	x.work = 0
+}
+
 // work estimates the milliseconds until the replica has the whole prompt: what it lacks is read anew, or fetched from a peer or store
 // that is thought to keep more of it, if that was measured to be quicker (§6.1).
 func (r *Router) work(x *Exchange, v *View, p *pool, rep *replica, kept map[string]int) (ms float64, source string) {
-	said, has := rep.report.Load(), kept[rep.Name]
-	size := len(x.Prompt.Text)
-	ms = float64(size-prompt.Covered(has)) / said.rate()
+	has, size, rate := kept[rep.Name], x.Prompt.Size(), rep.rate()
+	ms = float64(size-has) / rate
 	consider := func(other *replica) {
 		theirs := kept[other.Name]
-		more := prompt.Covered(theirs) - prompt.Covered(has)
+		more := theirs - has
 		if other.Name == rep.Name || more <= 0 || other.State == "leaving" {
 			return
 		}
-		rate, isTried := said.Fetch[other.Name]
-		if !isTried {
-			rate = fetchTry
-		}
-		fetched := fetchDelay + float64(more)/max(rate, 0.01) + float64(size-prompt.Covered(theirs))/said.rate()
+		fetched := fetchDelay + float64(more)/max(r.fetchRate(v, p, rep, other), 0.01) + float64(size-theirs)/rate
 		if fetched < ms {
 			ms, source = fetched, other.Address
 		}
@@ -119,17 +160,72 @@
 	return ms, source
 }
 
+// fetchRate is how much of a prompt a replica gets from a source per ms: as it has measured, or as the pool's links are declared.
+func (r *Router) fetchRate(v *View, p *pool, rep, other *replica) float64 {
+	if said := rep.report.Load(); said != nil {
+		if rate, isTried := said.Fetch[other.Name]; isTried {
+			return rate
+		}
+	}
+	link := p.LinkMbps
+	if from := v.pools[other.Pool]; from != nil && from.LinkMbps > 0 {
+		link = min(link, from.LinkMbps)
+	}
+	if link <= 0 || p.UnitBytes <= 0 {
+		return fetchTry
+	}
+	rate := link * 125 / float64(p.UnitBytes) // Mbit/s to bytes per ms
+	if rep.Zone != other.Zone {
+		rate /= 2
+	}
+	return rate
+}
+
 // cost adds the replica's load and warm-up to the work.
-func (r *Router) cost(rep *replica, work float64) float64 {
-	said := rep.report.Load()
-	busy := float64(said.Running) + float64(rep.sent.Load())
+func (r *Router) cost(rep *replica, work float64, now time.Time) float64 {
+	busy, isWarm := float64(rep.running.Load()), rep.State != "warming"
+	if said := rep.report.Load(); said != nil {
+		busy, isWarm = float64(said.Running)+float64(rep.sent.Load()), said.IsWarm
+	} else {
+		work += float64(rep.pending.Load()) / rep.rate()
+		if seen := rep.seen.Load(); seen != nil && now.Sub(seen.at) < seenAge {
+			busy = max(busy, float64(seen.Running))
+			work += waitCost * float64(seen.Waiting)
+		}
+	}
 	cost := work + loadWeight*busy*busy/float64(max(1, rep.Limit))/float64(max(1, rep.Limit))
-	if !said.IsWarm {
+	if !isWarm {
 		cost += float64(newestWarm.Milliseconds())
 	}
 	return cost
 }
 
+// rate is how fast the replica reads a prompt anew, in its units per ms: as it tells, or as was learned.
+func (rep *replica) rate() float64 {
+	if said := rep.report.Load(); said != nil {
+		return said.rate()
+	}
+	if learned := math.Float64frombits(rep.rateBits.Load()); learned > 0 {
+		return learned
+	}
+	return partRate
+}
+
+// learnRate takes the time to a first piece as a sample of the reading rate. What slows a replica is more than its reading, so that a
+// quick sample counts for more than a slow one.
+func (r *Router) learnRate(x *Exchange, delay time.Duration) {
+	rep := x.replica
+	if x.work < leastSample || x.source != "" || rep.pending.Load() > x.work || delay <= readBase {
+		return
+	}
+	sample, before := float64(x.work)/float64((delay-readBase).Milliseconds()+1), rep.rate()
+	part := 0.05
+	if sample > before {
+		part = 0.3
+	}
+	rep.rateBits.Store(math.Float64bits(before + part*(min(sample, 4*before)-before)))
+}
+
 // rate is how fast the replica reads a prompt anew, in bytes per ms.
 func (said *report) rate() float64 {
 	if said.Rate <= 0 {
@@ -147,13 +243,18 @@
 }
 
 // hasRoom looks at this proxy's share, and beyond it at what the replica's report leaves free (§5.3).
-func (r *Router) hasRoom(rep *replica) bool {
+func (r *Router) hasRoom(rep *replica, now time.Time) bool {
 	own := int(rep.running.Load())
 	if own < rep.share {
 		return true
 	}
-	said := rep.report.Load()
-	return float64(said.Running)+float64(rep.sent.Load())+1 <= r.borrow.part()*float64(rep.Limit)
+	running := -1.0
+	if said := rep.report.Load(); said != nil {
+		running = float64(said.Running) + float64(rep.sent.Load())
+	} else if seen := rep.seen.Load(); seen != nil && now.Sub(seen.at) < seenAge {
+		running = float64(max(seen.Running+seen.Waiting, own))
+	}
+	return running >= 0 && running+1 <= r.borrow.part()*float64(rep.Limit)
 }
 
 // borrowing is the part of a replica's slots up to which this proxy goes beyond its share. Reports are old by the time of several requests,
@@ -182,23 +283,32 @@
 // giveBack returns a credit.
 func (r *Router) giveBack(c credit) { c.replica.running.Add(-1) }
 
-// chain gives the prompt's block hashes in a cache domain, made once.
-func (x *Exchange) chain(domain string) []string {
+// chain gives the prompt's blocks in a cache domain, made once.
+func (x *Exchange) chain(domain string) []prompt.Block {
 	if x.chains == nil {
-		x.chains = map[string][]string{}
+		x.chains = map[string][]prompt.Block{}
 	}
 	chain, isMade := x.chains[domain]
 	if !isMade {
-		chain = prompt.Blocks(domain, x.Prompt.Text)
+		if x.Prompt.Parts == nil {
+			chain = prompt.TextBlocks(domain, x.Prompt.Text)
+		}
+		for _, part := range x.Prompt.Parts {
+			chain = append(chain, prompt.Block{Key: domain + "/" + part.ID, Size: part.Size})
+		}
 		x.chains[domain] = chain
 	}
 	return chain
 }
 
-// anchor stands for the prompt's opening, on which proxies without news agree.
+// anchor stands for the prompt's opening, on which proxies without news agree. The last part of a prompt is its own.
 func (x *Exchange) anchor(domain string) string {
-	if chain := x.chain(domain); len(chain) > 0 {
-		return chain[min(len(chain), 4)-1]
+	chain := x.chain(domain)
+	if x.Prompt.Parts != nil {
+		chain = chain[:max(min(len(chain), 1), len(chain)-1)]
+	}
+	if len(chain) > 0 {
+		return chain[min(len(chain), 4)-1].Key
 	}
 	return x.Tenant.Name
 }
--- a/router/query.go
+++ b/router/query.go
@@ -133,7 +133,11 @@
 				row["report_ms"] = time.Since(said.at).Milliseconds()
 			}
 			if p := v.pools[rep.Pool]; p != nil {
-				_, isFit := r.mayServe(p, rep, time.Now())
+				isFit := len(p.Models) == 0
+				for _, model := range append([]string{""}, p.Models...) {
+					_, isServing := r.mayServe(v, p, rep, model, time.Now())
+					isFit = isFit || isServing
+				}
 				row["fit"] = isFit
 			}
 			rows = append(rows, row)
--- a/router/relay.go
+++ b/router/relay.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -37,7 +38,7 @@
 	w.Header().Set("X-Blueprint-Version", strconv.FormatUint(x.View.Version.Version, 10))
 	w.WriteHeader(a.Status)
 	err := r.pour(w, x)
-	a.finish(err)
+	x.Answer.end(err)
 	if err == nil {
 		r.step(x, Done, "")
 		r.settleClaim(x, "ran")
@@ -55,49 +56,145 @@
 	panic(http.ErrAbortHandler)
 }
 
+// errBroken is a stream that the replica broke off.
+type errBroken struct{ cause error }
+
+func (e errBroken) Error() string { return e.cause.Error() }
+func (e errBroken) Unwrap() error { return e.cause }
+
+// pour passes the answer's bytes on. A stream that may be resumed goes on at another replica, behind the last event that the caller has
+// whole (§5.7).
 func (r *Router) pour(w http.ResponseWriter, x *Exchange) error {
-	a, flush := x.Answer, http.NewResponseController(w)
+	flush := http.NewResponseController(w)
+	cut := events{last: x.Last}
+	for {
+		err := r.pourOne(w, flush, x, &cut)
+		var broken errBroken
+		if err == nil || !errors.As(err, &broken) || x.Answer.buffer == nil || !x.Path.IsResumable || x.Request.Context().Err() != nil {
+			return err
+		}
+		x.Last = cut.last
+		cut.drop()
+		if failure := r.resume(x, err); failure != nil {
+			return fail.Wrap(err, fail.StreamCut, failure.Error())
+		}
+	}
+}
+
+// resume has the stream go on at another replica, under the budget of second shots.
+func (r *Router) resume(x *Exchange, cause error) error {
+	x.Answer.end(cause)
+	r.cool(x.replica)
+	if err := r.paySecond(x, cause); err != nil {
+		return err
+	}
+	r.counts.add("resumed", 1)
+	ctx, stop := context.WithDeadline(x.Request.Context(), x.Deadline)
+	defer stop()
+	if err := r.shoot(ctx, x, r.onward); err != nil {
+		return err
+	}
+	if x.Answer.Status != http.StatusOK || x.Answer.buffer == nil {
+		return fail.New(fail.StreamCut, "the other replica answered %d", x.Answer.Status)
+	}
+	return nil
+}
+
+// pourOne passes on what one replica sends.
+func (r *Router) pourOne(w http.ResponseWriter, flush *http.ResponseController, x *Exchange, cut *events) error {
+	a := x.Answer
 	// A caller that stops reading is not waited for without end; a writer that knows no deadlines has its own bounds.
 	_ = flush.SetWriteDeadline(time.Now().Add(pieceLimit))
-	if _, err := w.Write(a.First); err != nil {
+	if a.IsAll {
+		_, err := w.Write(a.First)
 		return err
 	}
-	if a.IsAll {
-		return nil
+	isEvents := a.buffer != nil
+	if !isEvents {
+		a.buffer = pieces.Get().(*[pieceSize]byte)
 	}
-	if err := flush.Flush(); err != nil {
-		return err
+	defer func() {
+		pieces.Put(a.buffer) // First, which lies in it, is written by then
+		if !isEvents {
+			a.buffer = nil
+		}
+	}()
+	pass := func(b []byte) error {
+		if isEvents && x.Path.IsResumable {
+			if b = cut.take(b); len(b) == 0 {
+				return nil
+			}
+		}
+		if _, err := w.Write(b); err != nil {
+			return err
+		}
+		return flush.Flush()
 	}
 	tail := append([]byte(nil), a.First[max(0, len(a.First)-tailSize):]...)
-	if a.buffer == nil {
-		a.buffer = pieces.Get().(*[pieceSize]byte)
+	if err := pass(a.First); err != nil {
+		return err
 	}
-	buffer := a.buffer[:]
-	defer pieces.Put(a.buffer) // First, which lies in it, is written already
 	schedule := time.AfterFunc(pieceLimit, func() { _ = a.Rest.Close() })
 	defer schedule.Stop()
 	for {
-		n, err := a.Rest.Read(buffer)
+		n, err := a.Rest.Read(a.buffer[:])
 		if n > 0 {
 			schedule.Reset(pieceLimit)
 			_ = flush.SetWriteDeadline(time.Now().Add(pieceLimit))
-			tail = append(tail, buffer[:n]...)
+			tail = append(tail, a.buffer[:n]...)
 			tail = append(tail[:0], tail[max(0, len(tail)-tailSize):]...)
-			if _, err := w.Write(buffer[:n]); err != nil {
-				return err
-			}
-			if err := flush.Flush(); err != nil {
+			if err := pass(a.buffer[:n]); err != nil {
 				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			if a.IsEnd != nil && !a.IsEnd(tail) {
-				return fail.New(fail.StreamCut, "no end mark")
+				return errBroken{fail.New(fail.StreamCut, "no end mark")}
+			}
+			if rest := cut.drop(); len(rest) > 0 {
+				_, err := w.Write(rest)
+				return err
 			}
 			return nil
 		}
 		if err != nil {
-			return err
+			return errBroken{err}
 		}
 	}
 }
+
+// events cuts a stream into whole events, and knows the last one's id.
+type events struct {
+	last uint64
+	held []byte // what was taken last
+	rest []byte // of it, the event that is not whole yet
+}
+
+var eventEnd = []byte("\n\n")
+
+// take gives the events that are whole now; they stay until the next call.
+func (e *events) take(b []byte) []byte {
+	e.held = append(append(e.held[:0], e.rest...), b...)
+	at := bytes.LastIndex(e.held, eventEnd)
+	if at < 0 {
+		e.rest = e.held
+		return nil
+	}
+	whole := e.held[:at+len(eventEnd)]
+	e.rest = e.held[len(whole):]
+	for line := range bytes.Lines(whole) {
+		if text, isID := bytes.CutPrefix(line, []byte("id:")); isID {
+			if id, err := strconv.ParseUint(string(bytes.TrimSpace(text)), 10, 64); err == nil {
+				e.last = id
+			}
+		}
+	}
+	return whole
+}
+
+// drop gives up the event that is not whole.
+func (e *events) drop() []byte {
+	rest := e.rest
+	e.rest = nil
+	return rest
+}
--- a/router/room.go
+++ b/router/room.go
@@ -56,6 +56,8 @@
 // door is the caller's side of one request's connection.
 type door struct {
 	id      string
+	opening Opening
+	failure error // why the opening could not be read
 	control *http.ResponseController
 	leave   []func() // when the request is over
 }
--- a/router/router.go
+++ b/router/router.go
@@ -11,6 +11,7 @@
 	"math/bits"
 	mathrand "math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,12 +47,18 @@
 	Log     zerolog.Logger
 	Seed    uint64
 	Dialect Dialect
-	Filters []Filter         // policies of one's own, after identity and path are known
-	Audit   int              // events kept; 0: 4096
-	Index   int              // entries of the index of kept prompts; 0: no index, the draw goes by load and by the prompt's opening
-	Admin   string           // where the agent reaches this router's queries
-	Room    int64            // bytes of callers' bodies held at a time; 0: 256 MiB
-	Clock   func() time.Time // the wall clock, for audit events and dates that a replica does not date itself; nil: the machine's
+	Filters []Filter // policies of one's own, after identity and path are known
+	Audit   int      // events kept; 0: 4096
+	Index   int      // entries of the index of kept prompts; 0: no index, the draw goes by load and by the prompt's opening
+	Admin   string   // where the agent reaches this router's queries
+	Room    int64    // bytes of callers' bodies held at a time; 0: 256 MiB
+	// OldWeights is how long old weights may start work after the new ones were learned; 0: 12 s (§6.2).
+	OldWeights time.Duration
+	// RetrySlack is how many second shots all routers together may send beyond their part; 0: five each (§5.4).
+	RetrySlack float64
+	AgentWait  time.Duration    // how long an ask is held by the agent; 0: 100 ms
+	KeepAlive  time.Duration    // how long an idle connection to a replica is kept; 0: 5 s
+	Clock      func() time.Time // the wall clock, for audit events and dates that a replica does not date itself; nil: the machine's
 }
 
 // Router is one data plane process's state.
@@ -75,11 +82,13 @@
 	borrow      borrowing
 	streaks     streaks
 	chain       handle
+	onward      handle // what comes after the filter that shoots
 	random      *lockedRandom
 	run         string // this life of the process
 	marks       atomic.Uint64
 	reports     chan hold.Notice
 	stopping    atomic.Bool
+	leaving     atomic.Bool
 	saidCurrent atomic.Bool // as the log has it
 	open        running
 	draining    chan struct{}
@@ -107,6 +116,15 @@
 	if options.Clock == nil {
 		options.Clock = time.Now
 	}
+	if options.OldWeights == 0 {
+		options.OldWeights = oldWeightsTime
+	}
+	if options.AgentWait == 0 {
+		options.AgentWait = 100 * time.Millisecond
+	}
+	if options.KeepAlive == 0 {
+		options.KeepAlive = 5 * time.Second
+	}
 	if options.Dialect == nil {
 		options.Dialect = ChatDialect{}
 	}
@@ -115,7 +133,7 @@
 	r := &Router{
 		options: options, log: options.Log, wire: link.NewWire(options.Fleet, options.Net),
 		upstream: &http.Transport{
-			MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second, DisableCompression: true,
+			MaxIdleConnsPerHost: 64, IdleConnTimeout: options.KeepAlive, DisableCompression: true,
 		},
 		names: indices{map[string]int{}}, signals: hold.NewSignals(), index: prompt.NewIndex(options.Index),
 		audit: newAudit(options.Audit), counts: newCounts(), budget: budget{tokens: budgetAllowance}, room: room{most: options.Room, byTenant: map[int]int64{}},
@@ -132,7 +150,7 @@
 		Draw: r.draw, Return: r.giveBack, HeldUntil: r.table.Last, Turn: r.turn,
 	})
 	r.follower = link.NewFollower(link.FollowerOptions{
-		Wire: r.wire, Address: options.Agent, Path: "/agent/pull", Wait: 100 * time.Millisecond,
+		Wire: r.wire, Address: options.Agent, Path: "/agent/pull", Wait: options.AgentWait,
 		Ask: r.ask, News: r.news, Fresh: r.fresh,
 	})
 	filters := []Filter{
@@ -145,6 +163,9 @@
 	}
 	for i := len(filters) - 1; i >= 0; i-- {
 		filter, onward := filters[i], r.chain
+		if _, isShots := filter.(shotsFilter); isShots {
+			r.onward = onward
+		}
 		r.chain = func(ctx context.Context, x *Exchange) error { return filter.Handle(ctx, x, onward) }
 	}
 	return r
@@ -237,15 +258,16 @@
 	if isImage {
 		r.index.Forget(replica, nil)
 	}
-	var kept, gone []string
+	var gone []string
 	for block, raw := range fields {
 		if register.IsGone(raw) {
 			gone = append(gone, block)
-		} else {
-			kept = append(kept, block)
+			continue
+		}
+		if kept, err := strconv.Atoi(string(raw)); err == nil {
+			r.index.Note(replica, block, kept)
 		}
 	}
-	r.index.Learn(replica, kept)
 	if gone != nil {
 		r.index.Forget(replica, gone)
 	}
@@ -297,7 +319,16 @@
 const turnStep = 100 * time.Millisecond
 
 // IsReady is for the platform's check.
-func (r *Router) IsReady() bool { return r.IsCurrent() && !r.stopping.Load() }
+func (r *Router) IsReady() bool { return r.IsCurrent() && !r.stopping.Load() && !r.leaving.Load() }
+
+// IsDeclared says whether this router has a configuration.
+func (r *Router) IsDeclared() bool {
+	v := r.view.Load()
+	return v != nil && v.Version.Version > 0
+}
+
+// Leave makes the router unready; it goes on serving until Stop.
+func (r *Router) Leave() { r.leaving.Store(true) }
 
 // throttle extends a scope's hold here at once, and has it told to all (§4.2).
 func (r *Router) throttle(x *Exchange, delay time.Duration, reason, raw string) {
@@ -349,17 +380,21 @@
 		}
 		return x, nil
 	}
-	kit := kithttp.NewServer(serve, r.decode, r.relay, kithttp.ServerErrorEncoder(encodeBounce))
+	kit := kithttp.NewServer(serve, r.decode, r.relay, kithttp.ServerErrorEncoder(r.encodeRefusal))
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		r.open.add(1)
 		defer r.open.add(-1)
-		d := &door{id: rand.Text(), control: http.NewResponseController(w)}
+		d := &door{control: http.NewResponseController(w)}
+		d.opening, d.failure = r.options.Dialect.Open(q)
+		if d.id = d.opening.ID; d.id == "" {
+			d.id = rand.Text()
+		}
 		defer func() {
 			for _, leave := range d.leave {
 				leave()
 			}
 		}()
-		w.Header().Set(idHeader, d.id) // every answer bears it, bounces too
+		w.Header().Set(r.options.Dialect.IDHeader(), d.id) // every answer bears it, refusals too
 		kit.ServeHTTP(w, q.WithContext(context.WithValue(q.Context(), doorName{}, d)))
 	})
 }
@@ -405,9 +440,12 @@
 	return ended
 }
 
-// encodeBounce also says whether the request ran.
-func encodeBounce(ctx context.Context, err error, w http.ResponseWriter) {
+// encodeRefusal also says whether the request ran.
+func (r *Router) encodeRefusal(ctx context.Context, err error, w http.ResponseWriter) {
 	f := fail.Of(err)
+	if f.Again > 0 {
+		w.Header().Set("Retry-After", r.options.Dialect.RetryAfter(f.Again))
+	}
 	w.Header().Set("X-Ran", string(f.Code.Ran))
 	w.Header().Set("X-Result-Code", fmt.Sprint(f.Code.Number))
 	link.EncodeFailure(ctx, err, w)
--- a/router/send.go
+++ b/router/send.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"reflect"
 	"strings"
 	"time"
 
@@ -21,9 +22,9 @@
 		return nil, err
 	}
 	v := r.view.Load()
-	t, p, rep := v.access[x.Access], v.find(x.Request.URL.Path, x.Prompt.Model), v.replicas[x.replica.Name]
-	if t == nil || p == nil || t.Tenant != x.Tenant.Tenant || p.Path != x.Path.Path {
-		return nil, errRedraw // led anew, it is sent by what holds now, or bounced
+	t, p, rep := v.tenantOf(x), v.find(x.Request.Host, x.Request.URL.Path, x.Prompt.Model), v.replicas[x.replica.Name]
+	if v != x.View && (t == nil || p == nil || !reflect.DeepEqual(t.Tenant, x.Tenant.Tenant) || !reflect.DeepEqual(p.Path, x.Path.Path)) {
+		return nil, errRedraw // led anew, it is sent by what holds now, or refused
 	}
 	if until := r.table.Until(x.item.Scope); !until.IsZero() {
 		return nil, errRedraw
@@ -31,7 +32,7 @@
 	if rep == nil || rep.Address != x.replica.Address {
 		return nil, errRedraw
 	}
-	if weights, isFit := r.mayServe(p.pool, rep, time.Now()); !isFit || weights != x.weights {
+	if weights, isFit := r.mayServe(v, p.draw(x.ID), rep, x.Prompt.Model, time.Now()); !isFit || weights != x.weights {
 		return nil, errRedraw
 	}
 	return v, nil
@@ -53,6 +54,7 @@
 		stop()
 		return err
 	}
+	r.learnAnswer(x, answer)
 	verdict := r.options.Dialect.Judge(answer)
 	if !verdict.IsServed {
 		schedule.Stop()
@@ -80,28 +82,51 @@
 		return r.lost(x, err)
 	}
 	r.began(x, time.Since(x.Sent))
-	r.index.Learn(rep.Name, x.chain(domain))
+	if answer.StatusCode == http.StatusOK {
+		r.index.Learn(rep.Name, x.chain(domain))
+	}
 	return nil
 }
 
+// learnAnswer takes what an answer tells of its replica.
+func (r *Router) learnAnswer(x *Exchange, answer *http.Response) {
+	if seen, isTold := r.options.Dialect.Occupancy(answer); isTold {
+		seen.at = time.Now()
+		x.replica.seen.Store(&seen)
+	}
+	if version := r.options.Dialect.Version(answer); version > x.replica.seenVersion.Load() {
+		x.replica.seenVersion.Store(version)
+	}
+}
+
 // dress makes the replica's request of the caller's.
 func (r *Router) dress(ctx context.Context, x *Exchange, domain string) (*http.Request, error) {
 	q, err := http.NewRequestWithContext(ctx, x.Request.Method, "http://"+x.replica.Address+x.Request.URL.RequestURI(), nil)
 	if err != nil {
 		return nil, fail.Wrap(err, fail.Internal, "make request")
 	}
+	q.Host = x.Request.Host
+	hops := map[string]bool{} // that the caller's connection alone concern
+	for _, value := range x.Request.Header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			hops[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
 	for name, values := range x.Request.Header {
+		if hops[name] {
+			continue
+		}
 		switch name {
-		case "Authorization", "Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Idempotency-Key", "Proxy-Connection", "Expect":
+		case "Connection", "Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Idempotency-Key", "Proxy-Connection", "Expect":
 		default:
 			q.Header[name] = values
 		}
 	}
-	weights := x.weights
-	if x.Path.pool.Kind == "web" {
-		weights = ""
+	s := Sending{Domain: domain, Weights: x.weights, Source: x.source, Sink: x.sink, Left: time.Until(x.Deadline), Last: x.Last}
+	if x.Pool.Kind == "web" {
+		s.Weights = ""
 	}
-	r.options.Dialect.Dress(q.Header, x, domain, weights, x.source)
+	r.options.Dialect.Dress(q.Header, x, s)
 	// A body reader without GetBody keeps net/http from resending by itself (§5.4).
 	q.Body, q.GetBody = io.NopCloser(struct{ io.Reader }{bytes.NewReader(x.Body)}), nil
 	if len(x.Body) > 0 {
@@ -138,7 +163,7 @@
 			return nil, fail.New(fail.CallerGone, "left before the request was written")
 		}
 		r.cool(x.replica)
-		return nil, errAgain{fail.Wrap(err, fail.ReplicaSaid, "no connection, or none that was written to")}
+		return nil, errUnsent{fail.Wrap(err, fail.ReplicaSaid, "no connection, or none that was written to")}
 	}
 	x.View, x.Sent = seen, at
 	if x.Shot == 0 {
@@ -156,7 +181,7 @@
 	a := x.Answer
 	switch {
 	case strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream"):
-		a.IsEnd = r.options.Dialect.IsEnd
+		a.IsEnd = r.options.Dialect.IsEnd()
 		a.buffer = pieces.Get().(*[pieceSize]byte)
 		n, err := answer.Body.Read(a.buffer[:])
 		for n == 0 && err == nil {
@@ -221,8 +246,7 @@
 		r.borrow.learn(true)
 	}
 	if !v.IsNotRun {
-		x.isSent = true
-		return fail.New(fail.OutcomeLost, "%s refused: %s", x.replica.Name, v.Reason)
+		return r.lost(x, errors.New(cause.Error()))
 	}
 	return errAgain{cause}
 }
@@ -239,16 +263,18 @@
 func (r *Router) began(x *Exchange, delay time.Duration) {
 	x.replica.bad.Store(0)
 	r.borrow.learn(false)
+	r.learnRate(x, delay)
+	r.hasRead(x)
 	said := x.replica.report.Load()
-	if said == nil || !said.IsWarm {
+	if said != nil && !said.IsWarm {
 		return // slow for everyone
 	}
 	rule := r.view.Load().hold
-	cold := time.Duration(float64(len(x.Prompt.Text)) / said.rate() * float64(time.Millisecond))
+	cold := time.Duration(float64(x.Prompt.Size()) / x.replica.rate() * float64(time.Millisecond))
 	if r.signals.Began(x.replica.index, x.Path.index, x.Tenant.index, delay, cold, rule.SlowRatio) {
 		r.throttle(x, r.random.backoff(rule, r.streak(x)), "slowed", "")
 	}
-	if x.Path.pool.Kind == "model" && !r.signals.IsSlow(x.Tenant.index) {
+	if x.Pool.Kind == "model" && !r.signals.IsSlow(x.Tenant.index) {
 		r.calm(x)
 	}
 }
--- a/router/view.go
+++ b/router/view.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"maps"
+	"net"
 	"slices"
 	"sort"
 	"strings"
@@ -16,14 +18,23 @@
 	Version  register.Stamp
 	tenants  map[string]*tenant
 	access   map[string]*tenant // by hash of the access key
-	paths    []*path            // longest address first
+	paths    map[string][]*path // by host, longest address first
 	pools    map[string]*pool
 	replicas map[string]*replica
 	stores   []*replica // of pools that keep prompts for the others
+	models   map[string]*model
+	public   *tenant // of those who need no key
 	hold     blueprint.Hold
+	limits   blueprint.Limits
 	proxies  []string
 }
 
+// model is a model with the version that operators have named, and until when each one before it may still start work (§6.2).
+type model struct {
+	version uint64
+	until   map[uint64]time.Time
+}
+
 type tenant struct {
 	blueprint.Tenant
 	index int
@@ -32,13 +43,29 @@
 type path struct {
 	blueprint.Path
 	index int
-	pool  *pool
+	pools []*pool // of the targets, in their order
+}
+
+// draw gives the request's pool by the targets' shares; a request draws the same one each time.
+func (p *path) draw(request string) *pool {
+	targets, sum := p.Path.Pools(), 0
+	for _, t := range targets {
+		sum += t.Share
+	}
+	at := int(register.Weight(p.Name, request) % uint64(max(1, sum)))
+	for i, t := range targets {
+		if at -= t.Share; at < 0 {
+			return p.pools[i]
+		}
+	}
+	return p.pools[0]
 }
 
 type pool struct {
 	blueprint.Pool
 	index    int
 	replicas []*replica
+	names    []string // of the replicas that stay
 	// Old weights may still be used until then (§6.2).
 	oldWeights string
 	oldUntil   time.Time
@@ -50,14 +77,34 @@
 	*load
 	index int
 	share int
+	order *blueprint.LoadOrder // the last one, if any
+}
+
+// version is the newest version of a model that the replica is known to have; they only rise within a replica's life.
+func (rep *replica) version(model string) uint64 {
+	version := max(1, rep.Models[model], rep.seenVersion.Load())
+	if rep.order != nil && rep.order.IsDone && rep.order.Model == model {
+		version = max(version, rep.order.Version)
+	}
+	return version
 }
 
 type load struct {
-	bad       atomic.Int64 // refusals of everyone and failures in a row
-	coolUntil atomic.Pointer[time.Time]
-	running   atomic.Int64 // sent by this proxy and not ended
-	sent      atomic.Int64 // by this proxy since the report
-	report    atomic.Pointer[report]
+	bad         atomic.Int64 // refusals of everyone and failures in a row
+	coolUntil   atomic.Pointer[time.Time]
+	running     atomic.Int64 // sent by this proxy and not ended
+	sent        atomic.Int64 // by this proxy since the report
+	report      atomic.Pointer[report]
+	pending     atomic.Int64  // of prompts sent by this proxy, what the replica has to read before their first pieces
+	rateBits    atomic.Uint64 // learned: units of prompt read per ms
+	seen        atomic.Pointer[Occupancy]
+	seenVersion atomic.Uint64
+}
+
+// Occupancy is what a replica tells of its load in an answer.
+type Occupancy struct {
+	Running, Waiting, Slots int
+	at                      time.Time
 }
 
 func newLoad() *load {
@@ -95,7 +142,7 @@
 	return i
 }
 
-// oldWeightsTime is how long old weights may start work after the new ones were learned.
+// oldWeightsTime is how long old weights may start work after the new ones were learned, if the options do not say.
 const oldWeightsTime = 12 * time.Second
 
 // compile makes a view of the registers. wasCurrent: the last view was vouched for until now.
@@ -106,22 +153,35 @@
 	if err != nil {
 		return nil, err
 	}
-	_, told := read(blueprint.ReplicasKey)
-	replicas, err := blueprint.Load[blueprint.Replica](told)
+	_, listed := read(blueprint.ReplicasKey)
+	replicas, err := blueprint.Load[blueprint.Replica](listed)
 	if err != nil {
 		return nil, err
 	}
 	_, partners := read(ProxiesKey)
 	v := &View{
-		Version: stamp, hold: plan.Hold, tenants: map[string]*tenant{}, access: map[string]*tenant{}, pools: map[string]*pool{},
-		replicas: map[string]*replica{},
+		Version: stamp, hold: plan.Hold, limits: plan.Limits, tenants: map[string]*tenant{}, access: map[string]*tenant{}, pools: map[string]*pool{},
+		replicas: map[string]*replica{}, paths: map[string][]*path{}, models: map[string]*model{},
+		public: &tenant{blueprint.Tenant{Weight: 1, Backlog: publicBacklog, Scope: "pool"}, r.names.of("public")},
+	}
+	if err := r.compileModels(v, old, read, wasCurrent); err != nil {
+		return nil, err
+	}
+	_, told := read(blueprint.LoadsKey)
+	orders, err := blueprint.Load[blueprint.LoadOrder](told)
+	if err != nil {
+		return nil, err
 	}
 	for name := range partners {
 		v.proxies = append(v.proxies, name)
 	}
 	sort.Strings(v.proxies)
 	for name, t := range plan.Tenants {
-		v.tenants[name] = &tenant{t, r.names.of("tenant/" + name)}
+		made := &tenant{t, r.names.of("tenant/" + name)}
+		v.tenants[name] = made
+		for _, hash := range t.Keys {
+			v.access[hash] = made
+		}
 	}
 	for _, key := range keys {
 		owner, isKeys := strings.CutPrefix(key, blueprint.KeysPrefix)
@@ -144,26 +204,41 @@
 			before := old.pools[name]
 			made.oldWeights, made.oldUntil = before.oldWeights, before.oldUntil
 			if before.Weights != p.Weights {
-				made.oldWeights, made.oldUntil = before.Weights, time.Now().Add(oldWeightsTime)
+				made.oldWeights, made.oldUntil = before.Weights, time.Now().Add(r.options.OldWeights)
 			}
 		}
 		v.pools[name] = made
 	}
 	for name, p := range plan.Paths {
-		v.paths = append(v.paths, &path{p, r.names.of("path/" + name), v.pools[p.Pool]})
-	}
-	sort.Slice(v.paths, func(i, j int) bool {
-		a, b := v.paths[i], v.paths[j]
-		if len(a.Address) != len(b.Address) {
-			return len(a.Address) > len(b.Address)
+		made := &path{Path: p, index: r.names.of("path/" + name)}
+		for _, target := range p.Pools() {
+			made.pools = append(made.pools, v.pools[target.Pool])
 		}
-		if (a.Model == "") != (b.Model == "") {
-			return b.Model == ""
+		host := strings.ToLower(p.Host)
+		v.paths[host] = append(v.paths[host], made)
+	}
+	for _, paths := range v.paths {
+		sort.Slice(paths, func(i, j int) bool {
+			a, b := paths[i], paths[j]
+			if len(a.Address) != len(b.Address) {
+				return len(a.Address) > len(b.Address)
+			}
+			if (a.Model == "") != (b.Model == "") {
+				return b.Model == ""
+			}
+			return a.Name < b.Name
+		})
+	}
+	for name, p := range v.pools {
+		if p.Kind == "store" && p.Address != "" {
+			v.stores = append(v.stores, &replica{Replica: blueprint.Replica{Name: storeName + name, Address: p.Address, Pool: name, Zone: p.Zone, State: "present"}, load: newLoad()})
 		}
-		return a.Name < b.Name
-	})
+	}
 	for name, told := range replicas {
 		made := &replica{Replica: told, load: newLoad(), index: r.names.of("replica/" + name)}
+		if order, isThere := orders[name]; isThere {
+			made.order = &order
+		}
 		if old != nil && old.replicas[name] != nil && old.replicas[name].Address == told.Address {
 			made.load = old.replicas[name].load
 		}
@@ -178,6 +253,11 @@
 	}
 	for _, p := range v.pools {
 		sort.Slice(p.replicas, func(i, j int) bool { return p.replicas[i].Name < p.replicas[j].Name })
+		for _, rep := range p.replicas {
+			if rep.State != "leaving" {
+				p.names = append(p.names, rep.Name)
+			}
+		}
 	}
 	return v, nil
 }
@@ -198,22 +278,67 @@
 	return part
 }
 
-// find gives the path for an address and model.
-func (v *View) find(address, model string) *path {
-	for _, p := range v.paths {
-		isAt := p.Address == address || strings.HasSuffix(p.Address, "/") && strings.HasPrefix(address, p.Address)
-		if isAt && (p.Model == "" || p.Model == model) {
-			return p
+// compileModels takes the named versions. Where this router was current until now, it knows since when a version stands.
+func (r *Router) compileModels(v, old *View, read func(key string) (register.Stamp, register.Fields), wasCurrent bool) error {
+	_, named := read(blueprint.ModelsKey)
+	models, err := blueprint.Load[blueprint.Model](named)
+	if err != nil {
+		return err
+	}
+	for name, m := range models {
+		made := &model{version: m.Version, until: map[uint64]time.Time{}}
+		if old != nil && wasCurrent {
+			before := old.models[name]
+			if before == nil {
+				before = &model{version: 1}
+			}
+			maps.Copy(made.until, before.until)
+			if before.version != m.Version {
+				made.until[before.version] = time.Now().Add(r.options.OldWeights)
+			}
+		}
+		v.models[name] = made
+	}
+	return nil
+}
+
+const (
+	publicBacklog = 1024
+	storeName     = "store:" // in the index, before the pool's name
+)
+
+// find gives the path for a host, address and model. A path of the host goes before one of any host.
+func (v *View) find(host, address, model string) *path {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, paths := range [][]*path{v.paths[strings.ToLower(host)], v.paths[""]} {
+		for _, p := range paths {
+			isAt := p.Address == address || strings.HasSuffix(p.Address, "/") && strings.HasPrefix(address, p.Address)
+			if isAt && (p.Model == "" || p.Model == model) {
+				return p
+			}
 		}
 	}
 	return nil
 }
 
+// isPublic says whether some path at the address needs no access key.
+func (v *View) isPublic(host, address, model string) bool {
+	p := v.find(host, address, model)
+	return p != nil && p.IsPublic
+}
+
 // isStaffed says whether the platform has told of a replica that is not leaving.
 func (p *pool) isStaffed() bool {
 	return slices.ContainsFunc(p.replicas, func(rep *replica) bool { return rep.State != "leaving" })
 }
 
+// allows says whether a replica with this version may start work now; a newer one than we have heard of is newer all the same.
+func (m *model) allows(version uint64, now time.Time) bool {
+	return m == nil || version >= m.version || now.Before(m.until[version])
+}
+
 // allows says whether a replica with these weights may start work for the pool now.
 func (p *pool) allows(weights string, now time.Time) bool {
 	if p.Kind == "web" || weights == p.Weights {
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -192,7 +192,7 @@
 	}
 	kept := f.AgentDisks[i].Open()
 	f.mu.Unlock()
-	agent := daemon.NewAgent(p, kept)
+	agent := daemon.NewAgent(p, kept, daemon.AgentOptions{})
 	local, outer := must(p.Net.Listen(ip+":7001")), must(p.Net.Listen(p.Address))
 	q := p
 	q.Name, q.Log = fmt.Sprintf("proxy-%d", i+1), f.Options.Log.With().Str("daemon", fmt.Sprintf("proxy-%d", i+1)).Logger()
--- a/term/term.go
+++ b/term/term.go
@@ -36,6 +36,7 @@
 	until   time.Time // ours until then; zero while it is not
 	seen    uint64    // version of another's term, and since when it stands unchanged here
 	seenAt  time.Time
+	quiet   time.Time // when the term of the holder before us was over at the latest; zero if there was none
 }
 
 // New makes a seat.
@@ -48,6 +49,26 @@
 	return s.number, time.Now().Before(s.until)
 }
 
+// Holder is the name under which this seat holds its duty.
+func (s *Seat) Holder() string { return s.options.Holder }
+
+// QuietUntil is when the term of the holder before us was over at the latest; zero if there was none.
+func (s *Seat) QuietUntil() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quiet
+}
+
+// Watch notes how long another's term has stood, for a candidate that does not want the duty yet.
+func (s *Seat) Watch() {
+	_, version := s.options.Board.Read(s.options.Duty)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); !now.Before(s.until) && (version != s.seen || s.seenAt.IsZero()) {
+		s.seen, s.seenAt = version, now
+	}
+}
+
 // Step renews our term, or takes one whose holder has been silent for a whole term on our clock. It is called a few times a term.
 func (s *Seat) Step(ctx context.Context) {
 	o := s.options
@@ -82,6 +103,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !isOurs && version != 0 && holder != o.Holder {
+		s.quiet = s.seenAt.Add(o.Length)
+	}
 	s.number, s.until = number, now.Add(o.Length-o.Margin)
 	if !isOurs {
 		o.Log.Info().Str("event", "term").Str("duty", o.Duty).Uint64("number", number).Msg("")
