--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -216,7 +216,10 @@
 		if a.links[m.Address] == nil {
 			f := link.NewFollower(link.FollowerOptions{
 				Wire: a.wire, Address: m.Address, Path: "/core/pull", Wait: a.options.LinkWait, Ask: a.ask,
-				News:  takeHolds(a.table), // the rest is looked at in digest, which follows each answer
+				News: func(f *link.Follower, answer link.Answer) { // the rest is looked at in digest, which follows each answer
+					takeHolds(a.table)(f, answer)
+					a.takeKept(f, answer)
+				},
 				Fresh: func(*link.Follower, time.Time, time.Duration) { a.digest(ctx) },
 			})
 			a.links[m.Address] = f
--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -20,6 +20,18 @@
 	Versions(ctx context.Context, r blueprint.Replica) (models map[string]uint64, isBusy bool, err error)
 	// Load orders a replica to take a version when what runs on it has ended.
 	Load(ctx context.Context, r blueprint.Replica, o Order) error
+	// Kept gives what a replica or store has got or lost of prompts since a place in its news, waiting for some; the zero place: all there is.
+	Kept(ctx context.Context, address string, from KeptPlace, wait time.Duration) (KeptNews, error)
+}
+
+// KeptPlace is a place in the news of one life of a replica or store.
+type KeptPlace struct{ Epoch, Next uint64 }
+
+// KeptNews is what was got or lost: by key, how much is kept now. IsImage: there is nothing else.
+type KeptNews struct {
+	Place   KeptPlace
+	IsImage bool
+	Kept    map[string]int
 }
 
 // Order is an order to a replica. Of two orders under different fences the one with the lower fence is void.
@@ -43,6 +55,7 @@
 	l := &loader{core: c, marked: map[string]time.Time{}, ordered: map[string]time.Time{}, resting: map[string]time.Time{},
 		seat: c.newSeat("loading")}
 	go every(ctx, listStep, func() { c.listReplicas(ctx) })
+	go c.readKept(ctx)
 	go every(ctx, loadStep, func() { l.step(ctx) })
 }
 
--- a/router/pool.go
+++ b/router/pool.go
@@ -100,7 +100,7 @@
 		if homes[domain] == rep.Name {
 			cost -= homeGain
 		}
-		if r.isOld(v, p, x.Prompt.Model, weights) {
+		if r.options.Dialect.ReportPath() != "" && weights != p.Weights {
 			cost += oldCost
 		}
 		if r.signals.HasRefused(rep.index, x.Tenant.index) {
@@ -109,6 +109,10 @@
 		if cost < least || best.replica == nil ||
 			cost == least && register.Weight(x.anchor(domain), rep.Name) > register.Weight(x.anchor(domain), best.replica.Name) {
 			best, least = credit{replica: rep, weights: weights, source: source, work: int64(x.Prompt.Size() - kept[rep.Name])}, cost
+			best.sink = r.sinkFor(x, v, kept)
+			if source == "" {
+				best.source = r.backUp(v, rep, kept)
+			}
 		}
 	}
 	if best.replica == nil {
@@ -120,15 +124,6 @@
 	return best, true
 }
 
-// isOld says whether a replica with these weights will be told to load others.
-func (r *Router) isOld(v *View, p *pool, name, weights string) bool {
-	if r.options.Dialect.ReportPath() != "" {
-		return weights != p.Weights
-	}
-	m := v.models[name]
-	return m != nil && weights != "" && weights != strconv.FormatUint(m.version, 10)
-}
-
 // hasRead ends a request's part in what its replica has yet to read.
 func (r *Router) hasRead(x *Exchange) {
 	x.replica.pending.Add(-x.work)
@@ -160,6 +155,31 @@
 	return ms, source
 }
 
+// backUp names a store that keeps as much of the prompt as the replica is thought to: should the replica have dropped it, it need not read
+// it again.
+func (r *Router) backUp(v *View, rep *replica, kept map[string]int) string {
+	for _, store := range v.stores {
+		if theirs := kept[store.Name]; theirs > 0 && theirs >= kept[rep.Name]/2 {
+			return store.Address
+		}
+	}
+	return ""
+}
+
+// sinkFor names a store that answers and lacks some of the prompt that others may share.
+func (r *Router) sinkFor(x *Exchange, v *View, kept map[string]int) string {
+	if len(x.Prompt.Parts) < 2 {
+		return ""
+	}
+	shared := x.Prompt.Size() - x.Prompt.Parts[len(x.Prompt.Parts)-1].Size
+	for _, store := range v.stores {
+		if _, isUp := r.sources.Load(store.Name); isUp && kept[store.Name] < shared {
+			return store.Address
+		}
+	}
+	return ""
+}
+
 // fetchRate is how much of a prompt a replica gets from a source per ms: as it has measured, or as the pool's links are declared.
 func (r *Router) fetchRate(v *View, p *pool, rep, other *replica) float64 {
 	if said := rep.report.Load(); said != nil {
--- a/router/router.go
+++ b/router/router.go
@@ -35,8 +35,12 @@
 	HoldKey    = "hold"
 	ReportsKey = "reports"
 	KeptPrefix = "kept/"
+	KeptUp     = "~up" // among what a source keeps: it answers
 )
 
+// StoreName is a declared store's name in the index of kept prompts.
+func StoreName(pool string) string { return storeName + pool }
+
 // Options of a router.
 type Options struct {
 	Name    string // unique in the fleet
@@ -81,6 +85,7 @@
 	room        room
 	borrow      borrowing
 	streaks     streaks
+	sources     sync.Map // stores that answer, by name in the index
 	chain       handle
 	onward      handle // what comes after the filter that shoots
 	random      *lockedRandom
@@ -257,11 +262,19 @@
 func (r *Router) learnKept(replica string, fields register.Fields, isImage bool) {
 	if isImage {
 		r.index.Forget(replica, nil)
+		r.sources.Delete(replica)
 	}
 	var gone []string
 	for block, raw := range fields {
 		if register.IsGone(raw) {
 			gone = append(gone, block)
+			if block == KeptUp {
+				r.sources.Delete(replica)
+			}
+			continue
+		}
+		if block == KeptUp {
+			r.sources.Store(replica, true)
 			continue
 		}
 		if kept, err := strconv.Atoi(string(raw)); err == nil {
--- a/router/view.go
+++ b/router/view.go
@@ -231,7 +231,7 @@
 	}
 	for name, p := range v.pools {
 		if p.Kind == "store" && p.Address != "" {
-			v.stores = append(v.stores, &replica{Replica: blueprint.Replica{Name: storeName + name, Address: p.Address, Pool: name, Zone: p.Zone, State: "present"}, load: newLoad()})
+			v.stores = append(v.stores, &replica{Replica: blueprint.Replica{Name: StoreName(name), Address: p.Address, Pool: name, Zone: p.Zone, State: "present"}, load: newLoad()})
 		}
 	}
 	for name, told := range replicas {
