--- a/daemon/kept.go
+++ b/daemon/kept.go
@@ -16,7 +16,7 @@
 const (
 	keptStep  = 500 * time.Millisecond
 	keptWait  = time.Second
-	keptPause = 100 * time.Millisecond // news that come close together are told together
+	keptPause = 250 * time.Millisecond // news that come close together are told together
 	keptGone  = 2                      // failures in a row after which a source counts as gone
 )
 
@@ -61,6 +61,15 @@
 			sources[router.StoreName(name)] = p.Address
 		}
 	}
+	replicas, err := blueprint.Load[blueprint.Replica](c.keeper.Read(blueprint.ReplicasKey).Fields)
+	if err != nil {
+		return sources
+	}
+	for name, r := range replicas {
+		if plan.Pools[r.Pool].MaxReaders > 0 && r.State != "leaving" {
+			sources[name] = r.Address
+		}
+	}
 	return sources
 }
 
@@ -84,7 +93,7 @@
 				tell(register.Fields{}, true)
 				isUp, place = false, KeptPlace{}
 			}
-			_ = link.Pause(ctx, 2*keptPause) // the loop looks at the context
+			_ = link.Pause(ctx, keptPause) // the loop looks at the context
 			continue
 		}
 		place, failures = news.Place, 0
