--- a/backlog/backlog.go
+++ b/backlog/backlog.go
@@ -20,6 +20,7 @@
 	Cost         int
 	Scope        string
 	Deadline     time.Time // a hold that outlasts it ends the wait at once; zero: none
+	Due          time.Time // after it, those that are not due yet go first; zero: never
 	Body         any       // what Draw needs to know
 
 	place   uint64
@@ -196,25 +197,33 @@
 	}
 }
 
-// pump grants what can be granted now, in turn, and sets the schedule for what a hold keeps back.
+// pump grants what can be granted now, in turn, and sets the schedule for what a hold keeps back. Those that can still be in time go first.
 func (b *Backlog[G]) pump(pool int) {
-	r := b.rings[pool]
-	if r == nil {
-		return
+	if r := b.rings[pool]; r != nil && b.grant(r, false) {
+		b.grant(r, true)
 	}
+}
+
+// grant goes round the flows until nothing is left to grant, or no credit; then it says no.
+func (b *Backlog[G]) grant(r *ring, isLate bool) bool {
+	now := time.Now()
 	for idle := 0; idle < len(r.flows); {
 		f := r.flows[r.cursor]
 		if r.isNew {
 			f.deficit += quantum * f.weight
 			r.isNew = false
 		}
-		if len(f.items) == 0 || !b.isReleased(f) {
+		at := -1
+		if len(f.items) > 0 && b.isReleased(f) {
+			at = f.next(now, isLate)
+		}
+		if at < 0 {
 			f.deficit = 0
 			r.advance()
 			idle++
 			continue
 		}
-		item := f.items[0]
+		item := f.items[at]
 		if f.deficit < item.Cost {
 			r.advance()
 			idle = 0 // it has work: its deficit grows each time round
@@ -222,15 +231,24 @@
 		}
 		credit, isPaid := b.options.Draw(item)
 		if !isPaid {
-			return // the turn stays here until a credit comes free
+			return false // the turn stays here until a credit comes free
 		}
 		f.deficit -= item.Cost
-		f.items = f.items[1:]
+		f.items = slices.Delete(f.items, at, at+1)
 		f.grant()
 		idle = 0
 		b.grants[item] = credit
 		close(item.granted)
 	}
+	return true
+}
+
+// next finds the first item that can still be in time, or the first of all.
+func (f *flow) next(now time.Time, isLate bool) int {
+	if isLate && len(f.items) > 0 {
+		return 0
+	}
+	return slices.IndexFunc(f.items, func(item *Item) bool { return item.Due.IsZero() || now.Before(item.Due) })
 }
 
 func (r *ring) advance() {
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -50,6 +50,7 @@
 	why           string
 	isSaidCurrent bool // as the log has it
 	proxies       register.Fields
+	silent        map[string]bool // members, by address
 	replicas      map[string]context.CancelFunc
 	watched       map[string]blueprint.Replica
 }
@@ -88,7 +89,7 @@
 		place: place, dialect: options.Dialect, wire: link.NewWire(place.Fleet, place.Net),
 		plain: newPlain(place.Net),
 		links: map[string]*link.Follower{}, applied: map[string]register.Stamp{}, undecided: map[string]doubt{},
-		why: "no core found yet", proxies: register.Fields{}, replicas: map[string]context.CancelFunc{}, watched: map[string]blueprint.Replica{},
+		why: "no core found yet", proxies: register.Fields{}, silent: map[string]bool{}, replicas: map[string]context.CancelFunc{}, watched: map[string]blueprint.Replica{},
 	}
 	a.ring = newRing(place, "agent", a.wire)
 	a.source = link.NewSource(link.SourceOptions{Remaining: a.remaining})
@@ -264,6 +265,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.workOut()
+	a.noteSilence()
 	partners := register.Fields{}
 	for _, f := range a.links {
 		if time.Since(f.FreshAt()) < a.options.Fresh {
@@ -281,6 +283,24 @@
 	}
 }
 
+// noteSilence tells the proxy when a member falls silent or returns, so long as a majority answers; a.mu is held.
+func (a *Agent) noteSilence() {
+	fresh, isChanged := 0, false
+	for _, m := range a.members {
+		f := a.links[m.Address]
+		isSilent := f == nil || time.Since(f.FreshAt()) > liveTime+a.options.LinkWait
+		if !isSilent {
+			fresh++
+		}
+		was, isKnown := a.silent[m.Address]
+		isChanged = isChanged || isKnown && was != isSilent
+		a.silent[m.Address] = isSilent
+	}
+	if isChanged && fresh > len(a.members)/2 {
+		a.source.Put(router.DisturbedKey, register.Stamp{}, register.Stamp{}, register.Fields{router.DisturbedKey: json.RawMessage("1")}, false)
+	}
+}
+
 // lists are the lists of members that count: the present one, and the one before while keys are carried over from it (§2.8).
 func (a *Agent) lists() [][]blueprint.Member {
 	if len(a.prior) > 0 {
--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -46,6 +46,7 @@
 	loadStep     = 200 * time.Millisecond
 	announceTime = 250 * time.Millisecond // between the word that a replica will load and the order: the proxies let it run dry
 	loadPart     = 5                      // so much of a pool loads at a time: a fifth
+	loadAhead    = 3                      // beyond that, a third as many run dry or are being looked after
 	orderAgain   = 2 * time.Second
 	orderRest    = 5 * time.Second // a replica that does not answer is left for later
 )
@@ -209,7 +210,7 @@
 				}
 			}
 		}
-		most += max(1, size/loadPart)
+		most += max(1, size/loadPart) + 2*size/loadPart/loadAhead
 	}
 	slices.SortStableFunc(due, func(a, b loading) int {
 		switch {
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -106,8 +106,8 @@
 	weights   string
 	source    string
 	sink      string
-	work      int64 // what the replica had to read of the prompt when it was drawn, until its first piece
-	unsent    int   // draws whose request was not written
+	reading   credit // until the first piece
+	unsent    int    // draws whose request was not written
 	isClaimed bool
 	isSent    bool // some shot may have run
 }
--- a/router/filters.go
+++ b/router/filters.go
@@ -138,6 +138,9 @@
 	}
 	x.item.Tenant, x.item.Pool, x.item.Cost = t.index, x.Pool.index, p.Cost
 	x.item.Weight, x.item.Limit = t.Weight, t.Backlog
+	if p.AimMs > 0 {
+		x.item.Due = x.Received.Add(time.Duration(duePart * float64(p.AimMs) * float64(time.Millisecond)))
+	}
 	x.item.Scope = hold.Scope(t.Name, x.Pool.Name, t.Scope == "pool")
 	return nil
 }
@@ -258,6 +261,9 @@
 func (f backlogFilter) Handle(ctx context.Context, x *Exchange, onward func(context.Context, *Exchange) error) error {
 	r := f.r
 	waiting, stop := context.WithCancel(ctx)
+	if x.Path.AimMs > 0 {
+		waiting, stop = context.WithDeadline(ctx, x.Received.Add(time.Duration(waitPart*float64(x.Deadline.Sub(x.Received)))))
+	}
 	defer stop()
 	go func() {
 		select {
@@ -278,7 +284,7 @@
 		}
 		return again(fail.Of(err), time.Second)
 	}
-	x.replica, x.weights, x.source, x.sink, x.work = c.replica, c.weights, c.source, c.sink, c.work
+	x.replica, x.weights, x.source, x.sink, x.reading = c.replica, c.weights, c.source, c.sink, c
 	isKept := false
 	defer func() {
 		if !isKept {
--- a/router/pool.go
+++ b/router/pool.go
@@ -19,6 +19,9 @@
 	source  string // address of a peer or store that the replica should fetch the prefix from; "" to read it anew
 	sink    string // address of a store that it should leave the prefix at
 	work    int64  // what it has to read of the prompt
+	pool    *pool
+
+	isWindowed bool
 }
 
 const (
@@ -55,7 +58,7 @@
 			return "", false
 		}
 		version := rep.version(model)
-		return strconv.FormatUint(version, 10), v.models[model].allows(version, now)
+		return strconv.FormatUint(version, 10), v.models[model].allows(version, now, r.disturbed.Load(), r.options.OldWeights)
 	}
 	said := rep.report.Load()
 	if said == nil || now.Sub(said.at) > reportAge || !p.allows(said.Weights, now) {
@@ -115,19 +118,31 @@
 			}
 		}
 	}
-	if best.replica == nil {
+	if best.replica == nil || x.Path.AimMs > 0 && !p.window.enter() {
 		return credit{}, false
 	}
+	best.isWindowed = x.Path.AimMs > 0
+	best.pool = p
 	best.replica.running.Add(1)
 	best.replica.sent.Add(1)
 	best.replica.pending.Add(best.work)
 	return best, true
 }
 
-// hasRead ends a request's part in what its replica has yet to read.
+// hasRead ends a request's part in what its replica has yet to read, and its place in the pool's window.
 func (r *Router) hasRead(x *Exchange) {
-	x.replica.pending.Add(-x.work)
-	x.work = 0
+	r.endReading(x.reading)
+	x.reading = credit{}
+}
+
+func (r *Router) endReading(c credit) {
+	if c.replica != nil {
+		c.replica.pending.Add(-c.work)
+	}
+	if c.isWindowed {
+		c.pool.window.leave()
+		r.backlog.Wake(c.pool.index)
+	}
 }
 
 // work estimates the milliseconds until the replica has the whole prompt: what it lacks is read anew, or fetched from a peer or store
@@ -235,10 +250,14 @@
 // quick sample counts for more than a slow one.
 func (r *Router) learnRate(x *Exchange, delay time.Duration) {
 	rep := x.replica
-	if x.work < leastSample || x.source != "" || rep.pending.Load() > x.work || delay <= readBase {
+	work := x.reading.work
+	if aim := time.Duration(x.Path.AimMs) * time.Millisecond; aim > 0 {
+		x.reading.pool.window.learn(delay-readBase-time.Duration(float64(work)/rep.rate()*float64(time.Millisecond)), aim)
+	}
+	if work < leastSample || x.source != "" || rep.pending.Load() > work || delay <= readBase {
 		return
 	}
-	sample, before := float64(x.work)/float64((delay-readBase).Milliseconds()+1), rep.rate()
+	sample, before := float64(work)/float64((delay-readBase).Milliseconds()+1), rep.rate()
 	part := 0.05
 	if sample > before {
 		part = 0.3
@@ -303,6 +322,15 @@
 // giveBack returns a credit.
 func (r *Router) giveBack(c credit) { c.replica.running.Add(-1) }
 
+// leaveUnused returns a credit whose request left in the moment of the grant; it is called under the backlog's lock.
+func (r *Router) leaveUnused(c credit) {
+	r.giveBack(c)
+	c.replica.pending.Add(-c.work)
+	if c.isWindowed {
+		c.pool.window.leave()
+	}
+}
+
 // chain gives the prompt's blocks in a cache domain, made once.
 func (x *Exchange) chain(domain string) []prompt.Block {
 	if x.chains == nil {
--- a/router/router.go
+++ b/router/router.go
@@ -35,7 +35,10 @@
 	HoldKey    = "hold"
 	ReportsKey = "reports"
 	KeptPrefix = "kept/"
-	KeptUp     = "~up" // among what a source keeps: it answers
+	// DisturbedKey says when a core was last seen to fall silent or to return: until then the cores may not have been able to go on
+	// with what they do, so that what has a term counts it from there (§6.2).
+	DisturbedKey = "disturbed"
+	KeptUp       = "~up" // among what a source keeps: it answers
 )
 
 // StoreName is a declared store's name in the index of kept prompts.
@@ -85,6 +88,8 @@
 	room        room
 	borrow      borrowing
 	streaks     streaks
+	windows     sync.Map // *window by pool name
+	disturbed   atomic.Pointer[time.Time]
 	sources     sync.Map // stores that answer, by name in the index
 	chain       handle
 	onward      handle // what comes after the filter that shoots
@@ -152,7 +157,7 @@
 		r.backlog.WakeAll()
 	})
 	r.backlog = backlog.New(backlog.Options[credit]{
-		Draw: r.draw, Return: r.giveBack, HeldUntil: r.table.Last, Turn: r.turn,
+		Draw: r.draw, Return: r.leaveUnused, HeldUntil: r.table.Last, Turn: r.turn,
 	})
 	r.follower = link.NewFollower(link.FollowerOptions{
 		Wire: r.wire, Address: options.Agent, Path: "/agent/pull", Wait: options.AgentWait,
@@ -212,6 +217,9 @@
 		switch {
 		case e.Key == HoldKey:
 			r.table.Learn(e.Fields, e.AgesMs)
+		case e.Key == DisturbedKey:
+			at := time.Now().Add(-time.Duration(e.AgesMs[DisturbedKey]) * time.Millisecond)
+			r.disturbed.Store(&at)
 		case e.Key == ReportsKey:
 			isView = isView || r.view.Load() == nil
 		case strings.HasPrefix(e.Key, KeptPrefix):
--- a/router/view.go
+++ b/router/view.go
@@ -66,6 +66,7 @@
 	index    int
 	replicas []*replica
 	names    []string // of the replicas that stay
+	window   *window
 	// Old weights may still be used until then (§6.2).
 	oldWeights string
 	oldUntil   time.Time
@@ -200,6 +201,8 @@
 	}
 	for name, p := range plan.Pools {
 		made := &pool{Pool: p, index: r.names.of("pool/" + name)}
+		kept, _ := r.windows.LoadOrStore(name, &window{})
+		made.window = kept.(*window)
 		if old != nil && old.pools[name] != nil && wasCurrent {
 			before := old.pools[name]
 			made.oldWeights, made.oldUntil = before.oldWeights, before.oldUntil
@@ -335,8 +338,16 @@
 }
 
 // allows says whether a replica with this version may start work now; a newer one than we have heard of is newer all the same.
-func (m *model) allows(version uint64, now time.Time) bool {
-	return m == nil || version >= m.version || now.Before(m.until[version])
+// A term counts anew from when the cores were last disturbed.
+func (m *model) allows(version uint64, now time.Time, disturbed *time.Time, term time.Duration) bool {
+	if m == nil || version >= m.version {
+		return true
+	}
+	until, isKnown := m.until[version]
+	if isKnown && disturbed != nil && until.Before(disturbed.Add(term)) {
+		until = disturbed.Add(term)
+	}
+	return now.Before(until)
 }
 
 // allows says whether a replica with these weights may start work for the pool now.
