--- a/router/filters.go
+++ b/router/filters.go
@@ -127,7 +127,7 @@
 	}
 	p := v.find(x.Request.Host, x.Request.URL.Path, x.Prompt.Model)
 	if p == nil {
-		return fail.New(fail.NoPath, "no path for %s%s and model %q", x.Request.Host, x.Request.URL.Path, x.Prompt.Model)
+		return fail.New(fail.NoPath, "no path for %s and model %q", x.Request.URL.Path, x.Prompt.Model)
 	}
 	x.View, x.Tenant, x.Path, x.Pool, x.IsRepeatable = v, t, p, p.draw(x.ID), p.IsRepeatable || p.IsResumable
 	switch x.door.opening.Repeat {
--- a/router/pool.go
+++ b/router/pool.go
@@ -97,10 +97,10 @@
 		}
 		work, source := r.work(x, v, p, rep, kept)
 		cost := r.cost(rep, work, now)
-		if rep.Zone != r.options.Zone {
+		if x.Prompt.Parts != nil && rep.Zone != r.options.Zone {
 			cost += zoneCost
 		}
-		if homes[domain] == rep.Name {
+		if x.Prompt.Parts != nil && homes[domain] == rep.Name {
 			cost -= homeGain
 		}
 		if r.options.Dialect.ReportPath() != "" && weights != p.Weights {
