--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -51,6 +51,7 @@
 	isSaidCurrent bool // as the log has it
 	proxies       register.Fields
 	silent        map[string]bool // members, by address
+	named         router.Named
 	replicas      map[string]context.CancelFunc
 	watched       map[string]blueprint.Replica
 }
@@ -220,6 +221,7 @@
 				News: func(f *link.Follower, answer link.Answer) { // the rest is looked at in digest, which follows each answer
 					takeHolds(a.table)(f, answer)
 					a.takeKept(f, answer)
+					a.takeNamed(answer)
 				},
 				Fresh: func(*link.Follower, time.Time, time.Duration) { a.digest(ctx) },
 			})
@@ -283,6 +285,18 @@
 	}
 }
 
+// takeNamed passes on since when versions are named, as the core knows it that has known it for longest.
+func (a *Agent) takeNamed(answer link.Answer) {
+	for _, e := range answer.Entries {
+		if e.Key != router.NamedKey {
+			continue
+		}
+		if moved := a.named.Learn(e.Fields, e.AgesMs); len(moved) > 0 {
+			a.source.Put(router.NamedKey, register.Stamp{}, register.Stamp{}, moved, false)
+		}
+	}
+}
+
 // noteSilence tells the proxy when a member falls silent or returns, so long as a majority answers; a.mu is held.
 func (a *Agent) noteSilence() {
 	fresh, isChanged := 0, false
--- a/daemon/bounds.go
+++ b/daemon/bounds.go
@@ -35,13 +35,13 @@
 
 // Agent gives the agent's options.
 func (b Bounds) Agent() AgentOptions {
-	return AgentOptions{Fresh: b.stale(), Undecided: b.stale(), LinkWait: longWait, Grace: max(0, b.Grace-time.Second/2)}
+	return AgentOptions{Fresh: b.stale(), Undecided: b.stale(), LinkWait: longWait, Grace: max(0, b.Grace-time.Second)}
 }
 
 // Proxy gives the proxy's options.
 func (b Bounds) Proxy() ProxyOptions {
 	return ProxyOptions{
-		Grace: max(0, b.Grace-time.Second), Linger: min(lingerTime, b.Grace/3), OldWeights: max(0, b.Version-versionMargin),
+		Grace: max(0, b.Grace-2*time.Second), Linger: min(lingerTime, b.Grace/3), OldWeights: max(0, b.Version-versionMargin),
 		RetrySlack: b.RetrySlack, AgentWait: longWait, Index: b.MemoryMB * indexPerMB, Room: int64(b.MemoryMB) << 20 / roomPart,
 	}
 }
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -59,6 +59,8 @@
 	loads   func(context.Context, register.Fields) (Accepted, error)
 	resolve func(context.Context, SettleOrder) (SettleAnswer, error)
 
+	toldNamed sync.Map // versions of models whose coming was told to the agents
+
 	claims map[string]time.Time // when this process first saw a claim; of the pruning alone
 
 	mu        sync.Mutex
@@ -140,6 +142,26 @@
 	if key == blueprint.MembersKey && c.keeper != nil {
 		go c.learnMembers()
 	}
+	if key == blueprint.ModelsKey && c.keeper != nil {
+		c.noteNamed(change)
+	}
+}
+
+// noteNamed tells the agents when a version of a model came to this disk. What was there before this life is of unknown age, and is not told.
+func (c *Core) noteNamed(change register.Fields) {
+	models, err := blueprint.Load[blueprint.Model](change)
+	if err != nil {
+		return
+	}
+	fields := register.Fields{}
+	for name, m := range models {
+		if _, isTold := c.toldNamed.LoadOrStore(router.NamedField(name, m.Version), true); !isTold {
+			fields[router.NamedField(name, m.Version)] = json.RawMessage("0")
+		}
+	}
+	if len(fields) > 0 {
+		c.data.Put(router.NamedKey, register.Stamp{}, register.Stamp{}, fields, false)
+	}
 }
 
 // withoutTexts leaves out what operators wrote, which only they read again.
--- a/router/pool.go
+++ b/router/pool.go
@@ -58,7 +58,7 @@
 			return "", false
 		}
 		version := rep.version(model)
-		return strconv.FormatUint(version, 10), v.models[model].allows(version, now, r.disturbed.Load(), r.options.OldWeights)
+		return strconv.FormatUint(version, 10), r.mayStart(v, model, version, now)
 	}
 	said := rep.report.Load()
 	if said == nil || now.Sub(said.at) > reportAge || !p.allows(said.Weights, now) {
--- a/router/router.go
+++ b/router/router.go
@@ -90,6 +90,7 @@
 	streaks     streaks
 	windows     sync.Map // *window by pool name
 	disturbed   atomic.Pointer[time.Time]
+	named       Named
 	sources     sync.Map // stores that answer, by name in the index
 	chain       handle
 	onward      handle // what comes after the filter that shoots
@@ -217,6 +218,8 @@
 		switch {
 		case e.Key == HoldKey:
 			r.table.Learn(e.Fields, e.AgesMs)
+		case e.Key == NamedKey:
+			r.named.Learn(e.Fields, e.AgesMs)
 		case e.Key == DisturbedKey:
 			at := time.Now().Add(-time.Duration(e.AgesMs[DisturbedKey]) * time.Millisecond)
 			r.disturbed.Store(&at)
--- a/router/view.go
+++ b/router/view.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"maps"
 	"net"
 	"slices"
 	"sort"
@@ -22,19 +21,13 @@
 	pools    map[string]*pool
 	replicas map[string]*replica
 	stores   []*replica // of pools that keep prompts for the others
-	models   map[string]*model
+	models   map[string]blueprint.Model
 	public   *tenant // of those who need no key
 	hold     blueprint.Hold
 	limits   blueprint.Limits
 	proxies  []string
 }
 
-// model is a model with the version that operators have named, and until when each one before it may still start work (§6.2).
-type model struct {
-	version uint64
-	until   map[uint64]time.Time
-}
-
 type tenant struct {
 	blueprint.Tenant
 	index int
@@ -162,10 +155,11 @@
 	_, partners := read(ProxiesKey)
 	v := &View{
 		Version: stamp, hold: plan.Hold, limits: plan.Limits, tenants: map[string]*tenant{}, access: map[string]*tenant{}, pools: map[string]*pool{},
-		replicas: map[string]*replica{}, paths: map[string][]*path{}, models: map[string]*model{},
+		replicas: map[string]*replica{}, paths: map[string][]*path{},
 		public: &tenant{blueprint.Tenant{Weight: 1, Backlog: publicBacklog, Scope: "pool"}, r.names.of("public")},
 	}
-	if err := r.compileModels(v, old, read, wasCurrent); err != nil {
+	_, versions := read(blueprint.ModelsKey)
+	if v.models, err = blueprint.Load[blueprint.Model](versions); err != nil {
 		return nil, err
 	}
 	_, told := read(blueprint.LoadsKey)
@@ -281,30 +275,6 @@
 	return part
 }
 
-// compileModels takes the named versions. Where this router was current until now, it knows since when a version stands.
-func (r *Router) compileModels(v, old *View, read func(key string) (register.Stamp, register.Fields), wasCurrent bool) error {
-	_, named := read(blueprint.ModelsKey)
-	models, err := blueprint.Load[blueprint.Model](named)
-	if err != nil {
-		return err
-	}
-	for name, m := range models {
-		made := &model{version: m.Version, until: map[uint64]time.Time{}}
-		if old != nil && wasCurrent {
-			before := old.models[name]
-			if before == nil {
-				before = &model{version: 1}
-			}
-			maps.Copy(made.until, before.until)
-			if before.version != m.Version {
-				made.until[before.version] = time.Now().Add(r.options.OldWeights)
-			}
-		}
-		v.models[name] = made
-	}
-	return nil
-}
-
 const (
 	publicBacklog = 1024
 	storeName     = "store:" // in the index, before the pool's name
@@ -337,19 +307,6 @@
 	return slices.ContainsFunc(p.replicas, func(rep *replica) bool { return rep.State != "leaving" })
 }
 
-// allows says whether a replica with this version may start work now; a newer one than we have heard of is newer all the same.
-// A term counts anew from when the cores were last disturbed.
-func (m *model) allows(version uint64, now time.Time, disturbed *time.Time, term time.Duration) bool {
-	if m == nil || version >= m.version {
-		return true
-	}
-	until, isKnown := m.until[version]
-	if isKnown && disturbed != nil && until.Before(disturbed.Add(term)) {
-		until = disturbed.Add(term)
-	}
-	return now.Before(until)
-}
-
 // allows says whether a replica with these weights may start work for the pool now.
 func (p *pool) allows(weights string, now time.Time) bool {
 	if p.Kind == "web" || weights == p.Weights {
