--- a/router/pool.go
+++ b/router/pool.go
@@ -31,6 +31,7 @@
 	defaultRate = 4.0   // bytes of prompt per ms, until a replica tells
 	partRate    = 100.0 // units of a prompt in parts per ms, until it is learned
 	homeGain    = 20.0  // ms: the replica on which proxies without news agree for a prompt's opening
+	againCost   = 2.0   // times its reading: what others may share, and nobody has been heard to keep yet, is best read in one place
 	zoneCost    = 4.0   // ms: a replica in another zone
 	waitCost    = 40.0  // ms for each request that a replica has said to be waiting
 	seenAge     = time.Second
@@ -81,40 +82,42 @@
 	now := time.Now()
 	var best credit
 	var least float64
-	chains := map[string]map[string]int{}
-	homes := map[string]string{}
+	domains := map[string]*standing{}
+	var fit []fitting
 	for _, rep := range p.replicas {
 		weights, isFit := r.mayServe(v, p, rep, x.Prompt.Model, now)
 		if !isFit || !r.hasRoom(rep, now) || now.Before(*rep.coolUntil.Load()) {
 			continue
 		}
 		domain := prompt.Domain(x.Tenant.Name, x.Tenant.Born, x.Tenant.IsWalled, weights)
-		kept, isKnown := chains[domain]
-		if !isKnown && p.Kind == "model" {
-			kept = r.index.Kept(x.chain(domain))
-			chains[domain] = kept
-			homes[domain] = register.Draw(x.anchor(domain), p.names)
+		if domains[domain] == nil {
+			domains[domain] = r.stand(x, p, domain)
 		}
-		work, source := r.work(x, v, p, rep, kept)
+		d := domains[domain]
+		d.meet(rep.Name)
+		fit = append(fit, fitting{rep, weights, d})
+	}
+	for _, f := range fit {
+		rep, d := f.replica, f.standing
+		work, source := r.work(x, v, p, rep, d.kept)
 		cost := r.cost(rep, work, now)
 		if x.Prompt.Parts != nil && rep.Zone != r.options.Zone {
 			cost += zoneCost
 		}
-		if x.Prompt.Parts != nil && homes[domain] == rep.Name {
-			cost -= homeGain
+		if x.Prompt.Parts != nil && d.home != rep.Name {
+			cost += homeGain + againCost*float64(max(0, d.shared-max(d.kept[rep.Name], d.most)))/rep.rate()
 		}
-		if r.options.Dialect.ReportPath() != "" && weights != p.Weights {
+		if r.options.Dialect.ReportPath() != "" && f.weights != p.Weights {
 			cost += oldCost
 		}
 		if r.signals.HasRefused(rep.index, x.Tenant.index) {
 			cost += oldCost // another replica's answer tells more
 		}
-		if cost < least || best.replica == nil ||
-			cost == least && register.Weight(x.anchor(domain), rep.Name) > register.Weight(x.anchor(domain), best.replica.Name) {
-			best, least = credit{replica: rep, weights: weights, source: source, work: int64(x.Prompt.Size() - kept[rep.Name])}, cost
-			best.sink = r.sinkFor(x, v, kept)
+		if cost < least || best.replica == nil || cost == least && register.Weight(d.anchor, rep.Name) > register.Weight(d.anchor, best.replica.Name) {
+			best, least = credit{replica: rep, weights: f.weights, source: source, work: int64(x.Prompt.Size() - d.kept[rep.Name])}, cost
+			best.sink = r.sinkFor(x, v, d)
 			if source == "" {
-				best.source = r.backUp(v, rep, kept)
+				best.source = r.backUp(v, rep, d.kept)
 			}
 		}
 	}
@@ -129,6 +132,45 @@
 	return best, true
 }
 
+// fitting is a replica that may serve a request, and what is kept of its prompt in the replica's domain.
+type fitting struct {
+	replica  *replica
+	weights  string
+	standing *standing
+}
+
+// standing is what is known of a prompt in one cache domain.
+type standing struct {
+	anchor string
+	kept   map[string]int // by replica or store
+	most   int            // that any of them keeps
+	shared int            // what of it others may ask for too
+	home   string         // of the replicas that may serve: the one on which proxies without news agree
+	weight uint64
+}
+
+func (r *Router) stand(x *Exchange, p *pool, domain string) *standing {
+	d := &standing{anchor: x.anchor(domain)}
+	if p.Kind != "model" {
+		return d
+	}
+	d.kept = r.index.Kept(x.chain(domain))
+	for _, kept := range d.kept {
+		d.most = max(d.most, kept)
+	}
+	if n := len(x.Prompt.Parts); n > 1 {
+		d.shared = x.Prompt.Size() - x.Prompt.Parts[n-1].Size
+	}
+	return d
+}
+
+// meet has a replica compete for being the home.
+func (d *standing) meet(name string) {
+	if w := register.Weight(d.anchor, name); d.home == "" || w > d.weight {
+		d.home, d.weight = name, w
+	}
+}
+
 // hasRead ends a request's part in what its replica has yet to read, and its place in the pool's window.
 func (r *Router) hasRead(x *Exchange) {
 	r.endReading(x.reading)
@@ -181,14 +223,10 @@
 	return ""
 }
 
-// sinkFor names a store that answers and lacks some of the prompt that others may share.
-func (r *Router) sinkFor(x *Exchange, v *View, kept map[string]int) string {
-	if len(x.Prompt.Parts) < 2 {
-		return ""
-	}
-	shared := x.Prompt.Size() - x.Prompt.Parts[len(x.Prompt.Parts)-1].Size
+// sinkFor names a store that answers and lacks some of what others may share.
+func (r *Router) sinkFor(x *Exchange, v *View, d *standing) string {
 	for _, store := range v.stores {
-		if _, isUp := r.sources.Load(store.Name); isUp && kept[store.Name] < shared {
+		if _, isUp := r.sources.Load(store.Name); isUp && d.kept[store.Name] < d.shared {
 			return store.Address
 		}
 	}
