--- a/router/window.go
+++ b/router/window.go
@@ -8,6 +8,7 @@
 const (
 	windowFirst = 32.0
 	windowLeast = 2.0
+	windowShare = 3.0 // requests for each replica that the windows of all proxies together never go below
 	windowMost  = 512.0
 	windowRest  = 100 * time.Millisecond // between two cuts
 	windowCut   = 0.8
@@ -20,10 +21,18 @@
 // window bounds how many requests are with a pool's replicas before their first pieces: beyond it they wait here, where those that can
 // still be in time go first (§5.3). It shrinks while replicas take long beyond their reading, and grows while it is full and they do not.
 type window struct {
-	mu   sync.Mutex
-	size float64
-	out  int
-	cut  time.Time
+	mu    sync.Mutex
+	size  float64
+	least float64
+	out   int
+	cut   time.Time
+}
+
+// bound sets what the window does not go below: replicas that have nothing to read stand idle.
+func (w *window) bound(replicas, proxies int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.least = max(windowLeast, windowShare*float64(replicas)/float64(max(1, proxies)))
 }
 
 // enter takes a place if there is one.
@@ -53,7 +62,7 @@
 	switch now := time.Now(); {
 	case float64(waited) > slowPart*float64(aim):
 		if now.Sub(w.cut) >= windowRest {
-			w.size, w.cut = max(windowLeast, min(w.size, float64(w.out+1))*windowCut), now
+			w.size, w.cut = max(w.least, min(w.size, float64(w.out+1))*windowCut), now
 		}
 	case float64(waited) < quickPart*float64(aim) && float64(w.out)+1 >= w.size/2:
 		w.size = min(windowMost, w.size+1/w.size)
