--- a/router/window.go
+++ b/router/window.go
@@ -8,7 +8,7 @@
 const (
 	windowFirst = 32.0
 	windowLeast = 2.0
-	windowShare = 3.0 // requests for each replica that the windows of all proxies together never go below
+	windowShare = 5.0 // requests for each replica that the windows of all proxies together never go below
 	windowMost  = 512.0
 	windowRest  = 100 * time.Millisecond // between two cuts
 	windowCut   = 0.8
