--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -44,6 +44,7 @@
 const (
 	listStep     = time.Second
 	loadStep     = 200 * time.Millisecond
+	loadTerm     = 2 * time.Second
 	announceTime = 250 * time.Millisecond // between the word that a replica will load and the order: the proxies let it run dry
 	loadPart     = 5                      // so much of a pool loads at a time: a fifth
 	loadAhead    = 3                      // beyond that, a third as many run dry or are being looked after
@@ -53,8 +54,8 @@
 
 // runBackend has this core look after the list of replicas and their models, as far as it is drawn for that.
 func (c *Core) runBackend(ctx context.Context) {
-	l := &loader{core: c, marked: map[string]time.Time{}, ordered: map[string]time.Time{}, resting: map[string]time.Time{},
-		seat: c.newSeat("loading")}
+	l := &loader{core: c, marked: map[string]time.Time{}, ordered: map[string]time.Time{}, resting: map[string]time.Time{}, made: map[string]bool{},
+		seat: c.newSeat("loading", loadTerm)}
 	go every(ctx, listStep, func() { c.listReplicas(ctx) })
 	go c.readKept(ctx)
 	go every(ctx, loadStep, func() { l.step(ctx) })
@@ -99,7 +100,8 @@
 	seat    *term.Seat
 	marked  map[string]time.Time // since when a mark of ours stands
 	ordered map[string]time.Time // when a replica was last told
-	resting map[string]time.Time // until when a silent replica is left alone
+	resting map[string]time.Time // until when a replica is left alone
+	made    map[string]bool      // marks of this process
 	renewed time.Time
 }
 
@@ -118,12 +120,12 @@
 	if len(due) == 0 && len(gone) == 0 || c.council().self == nil {
 		return
 	}
-	if time.Since(l.renewed) > termLength/5 && (isOurs || register.Draw(termPrefix+"loading", c.live()) == c.place.Name) {
+	if time.Since(l.renewed) > loadTerm/5 && (isOurs || register.Draw(termPrefix+"loading", c.live()) == c.place.Name) {
 		l.renewed = time.Now()
 		l.seat.Step(ctx)
 		fence, isOurs = l.seat.Holds()
 	}
-	if !isOurs || time.Now().Before(l.seat.QuietUntil().Add(c.options.Lease)) {
+	if !isOurs {
 		return
 	}
 	change, now := register.Fields{}, time.Now()
@@ -132,34 +134,34 @@
 	}
 	open := 0
 	for _, d := range due {
-		if d.isOpen {
+		name := d.replica.Name
+		switch {
+		case d.isOpen:
 			open++
+		case open < most && now.After(l.resting[name]): // open marks come first, so that all are counted by now
+			open++
+			change.Apply(blueprint.Field(name, d.order))
+			l.made[name] = true
 		}
 	}
 	var mu sync.Mutex
 	var asked sync.WaitGroup
 	for _, d := range due {
-		name := d.replica.Name
-		switch {
-		case d.isOpen:
-			asked.Go(func() {
-				isDone, isSilent := l.attend(ctx, d, fence)
-				mu.Lock()
-				defer mu.Unlock()
-				if isDone {
-					d.order.IsDone = true
-					change.Apply(blueprint.Field(name, d.order))
-				} else if isSilent {
-					change[name] = nil
-					l.resting[name] = time.Now().Add(orderRest)
-				}
-			})
-		case open < most && now.After(l.resting[name]):
-			open++
-			mu.Lock()
-			change.Apply(blueprint.Field(name, d.order))
-			mu.Unlock()
+		if !d.isOpen {
+			continue
 		}
+		asked.Go(func() {
+			isDone, rest := l.attend(ctx, d, fence)
+			mu.Lock()
+			defer mu.Unlock()
+			if isDone {
+				d.order.IsDone = true
+				change.Apply(blueprint.Field(d.replica.Name, d.order))
+			} else if rest > 0 {
+				change[d.replica.Name] = nil
+				l.resting[d.replica.Name] = time.Now().Add(rest)
+			}
+		})
 	}
 	asked.Wait()
 	if len(change) == 0 {
@@ -224,49 +226,58 @@
 	return due, gone, most
 }
 
-// attend asks a replica how far it is, and orders it to load once its mark has stood long enough for the proxies to know it.
-func (l *loader) attend(ctx context.Context, d loading, fence uint64) (isDone, isSilent bool) {
+// attend asks a replica how far it is, and orders it to load once its mark has stood long enough for the proxies to know it. It also says
+// for how long the replica is better left alone: one that is silent, or one that the holder before us may have told but that shows no order,
+// which may be told by another holder only a lease later; until then it serves as before.
+func (l *loader) attend(ctx context.Context, d loading, fence uint64) (isDone bool, rest time.Duration) {
 	c, name := l.core, d.replica.Name
 	short, stop := context.WithTimeout(ctx, reportLimit)
 	defer stop()
 	c.mu.Lock()
-	since, isMarked := l.marked[name+"/"+d.order.Model]
+	since, isMarked := l.marked[name]
 	if !isMarked {
 		since = time.Now()
-		l.marked[name+"/"+d.order.Model] = since
+		l.marked[name] = since
 	}
 	told := l.ordered[name]
 	c.mu.Unlock()
-	if time.Since(since) < announceTime {
-		return false, false
+	forget := func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(l.marked, name)
+		delete(l.ordered, name)
 	}
-	if !told.IsZero() && time.Since(told) < orderAgain/4 {
-		return false, false // its reports lag: they would not show the order yet
+	if time.Since(since) < announceTime || !told.IsZero() && time.Since(told) < orderAgain/4 {
+		return false, 0 // the proxies may not know of it yet, or its reports would not show the order
 	}
 	models, isBusy, err := c.options.Backend.Versions(short, d.replica)
-	if err != nil {
-		return false, time.Since(since) > orderAgain
+	if err != nil && time.Since(since) > orderAgain {
+		forget()
+		return false, orderRest
 	}
-	if models[d.order.Model] >= d.order.Version && !isBusy {
-		c.mu.Lock()
-		delete(l.marked, name+"/"+d.order.Model)
-		delete(l.ordered, name)
-		c.mu.Unlock()
-		return true, false
+	if err != nil || isBusy {
+		return false, 0
+	}
+	if models[d.order.Model] >= d.order.Version {
+		forget()
+		return true, 0
+	}
+	if left := time.Until(l.seat.QuietUntil().Add(c.options.Lease)); left > 0 && !l.made[name] {
+		forget()
+		return false, left
 	}
-	if isBusy || time.Since(told) < orderAgain {
-		return false, false
+	if time.Since(told) < orderAgain {
+		return false, 0
 	}
-	if now, isOurs := l.seat.Holds(); !isOurs || now < fence {
-		return false, false
-	} else {
-		fence = now
+	now, isOurs := l.seat.Holds()
+	if !isOurs || now < fence {
+		return false, 0
 	}
-	err = c.options.Backend.Load(short, d.replica, Order{d.order, l.seat.Holder(), fence})
+	err = c.options.Backend.Load(short, d.replica, Order{d.order, l.seat.Holder(), now})
 	c.mu.Lock()
 	l.ordered[name] = time.Now()
 	c.mu.Unlock()
 	c.place.Log.Info().Str("event", "load").Str("replica", name).Str("model", d.order.Model).Uint64("version", d.order.Version).
-		Uint64("fence", fence).AnErr("failure", err).Msg("")
-	return false, false
+		Uint64("fence", now).AnErr("failure", err).Msg("")
+	return false, 0
 }
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -63,16 +63,16 @@
 	late    map[string]lateness // by pool
 }
 
-func (c *Core) newSeat(duty string) *term.Seat {
-	return term.New(term.Options{Duty: duty, Holder: c.place.Name + "." + c.incarnation + "." + c.whole.Run(), Length: termLength,
-		Margin: termLength / 8, Board: board{c}, Log: c.place.Log})
+func (c *Core) newSeat(duty string, length time.Duration) *term.Seat {
+	return term.New(term.Options{Duty: duty, Holder: c.place.Name + "." + c.incarnation + "." + c.whole.Run(), Length: length,
+		Margin: length / 8, Board: board{c}, Log: c.place.Log})
 }
 
 // runDuties steps this core's seats, and does the duties that it holds.
 func (c *Core) runDuties(ctx context.Context) {
 	r := &rollout{core: c, dialect: router.ChatDialect{}, late: map[string]lateness{},
 		plain: newPlain(c.place.Net),
-		seat:  c.newSeat("rollout"),
+		seat:  c.newSeat("rollout", termLength),
 	}
 	go every(ctx, c.options.ClaimAge/20, func() { c.pruneClaims(ctx) })
 	if c.options.Backend != nil {
