--- a/router/filters.go
+++ b/router/filters.go
@@ -115,6 +115,9 @@
 		wait = min(wait, given)
 	}
 	x.Deadline = x.Received.Add(wait)
+	if x.Path.AimMs > 0 {
+		x.Pool.window.arrived(time.Duration(x.Path.AimMs) * time.Millisecond)
+	}
 	x.item.Deadline, x.item.Body = x.Deadline, x
 	return onward(ctx, x)
 }
--- a/router/view.go
+++ b/router/view.go
@@ -255,7 +255,6 @@
 				p.names = append(p.names, rep.Name)
 			}
 		}
-		p.window.bound(len(p.names), len(v.proxies))
 	}
 	return v, nil
 }
--- a/router/window.go
+++ b/router/window.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -8,7 +9,8 @@
 const (
 	windowFirst = 32.0
 	windowLeast = 2.0
-	windowShare = 5.0 // requests for each replica that the windows of all proxies together never go below
+	windowAims  = 1.25 // the window never goes below what arrives here in so many aims
+	rateTime    = 2 * time.Second
 	windowMost  = 512.0
 	windowRest  = 100 * time.Millisecond // between two cuts
 	windowCut   = 0.8
@@ -21,18 +23,24 @@
 // window bounds how many requests are with a pool's replicas before their first pieces: beyond it they wait here, where those that can
 // still be in time go first (§5.3). It shrinks while replicas take long beyond their reading, and grows while it is full and they do not.
 type window struct {
-	mu    sync.Mutex
-	size  float64
-	least float64
-	out   int
-	cut   time.Time
+	mu       sync.Mutex
+	size     float64
+	least    float64
+	arrivals float64 // lately, fading
+	last     time.Time
+	out      int
+	cut      time.Time
 }
 
-// bound sets what the window does not go below: replicas that have nothing to read stand idle.
-func (w *window) bound(replicas, proxies int) {
+// arrived counts a request. The least size follows what arrives here: a proxy with more callers has a larger part of what the replicas read,
+// and replicas that have nothing to read stand idle.
+func (w *window) arrived(aim time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.least = max(windowLeast, windowShare*float64(replicas)/float64(max(1, proxies)))
+	now := time.Now()
+	w.arrivals *= math.Exp(-float64(now.Sub(w.last)) / float64(rateTime))
+	w.arrivals, w.last = w.arrivals+1, now
+	w.least = max(windowLeast, windowAims*float64(aim)*w.arrivals/float64(rateTime))
 }
 
 // enter takes a place if there is one.
@@ -42,7 +50,7 @@
 	if w.size == 0 {
 		w.size = windowFirst
 	}
-	if float64(w.out) >= w.size {
+	if float64(w.out) >= max(w.size, w.least) {
 		return false
 	}
 	w.out++
