--- a/daemon/core.go
+++ b/daemon/core.go
@@ -59,6 +59,7 @@
 	loads   func(context.Context, register.Fields) (Accepted, error)
 	resolve func(context.Context, SettleOrder) (SettleAnswer, error)
 
+	kept      keptNews
 	toldNamed sync.Map // versions of models whose coming was told to the agents
 
 	claims map[string]time.Time // when this process first saw a claim; of the pruning alone
@@ -323,7 +324,11 @@
 	for _, m := range now.members {
 		if m.Incarnation != c.incarnation && c.followers[m.Name] == nil {
 			f := link.NewFollower(link.FollowerOptions{
-				Wire: c.wire, Address: m.Address, Path: "/core/whole", Wait: c.linkWait(), News: takeHolds(c.table),
+				Wire: c.wire, Address: m.Address, Path: "/core/whole", Wait: c.linkWait(),
+				News: func(f *link.Follower, answer link.Answer) {
+					takeHolds(c.table)(f, answer)
+					c.takeShared(answer)
+				},
 				Ask: func() link.Ask { return link.Ask{Name: c.place.Name, Role: "core"} },
 			})
 			c.followers[m.Name] = f
--- a/daemon/kept.go
+++ b/daemon/kept.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"asterridge/blueprint"
@@ -76,10 +77,8 @@
 // readSource follows one source until the context ends.
 func (c *Core) readSource(ctx context.Context, key, address string) {
 	var place KeptPlace
-	tell := func(fields register.Fields, isWhole bool) {
-		c.data.Put(key, register.Stamp{}, register.Stamp{}, fields, isWhole)
-	}
 	isUp, failures := false, 0
+	defer c.kept.drop(key)
 	for ctx.Err() == nil {
 		short, stop := context.WithTimeout(ctx, 2*keptWait)
 		news, err := c.options.Backend.Kept(short, address, place, keptWait)
@@ -90,34 +89,152 @@
 		if err != nil {
 			if failures++; failures == keptGone && isUp {
 				c.place.Log.Warn().Str("event", "source_gone").Str("source", key).Err(err).Msg("")
-				tell(register.Fields{}, true)
+				c.tellKept(key, c.kept.drop(key), true)
 				isUp, place = false, KeptPlace{}
 			}
 			_ = link.Pause(ctx, keptPause) // the loop looks at the context
 			continue
 		}
-		place, failures = news.Place, 0
-		fields := register.Fields{}
-		for block, kept := range news.Kept {
-			fields[block] = nil
-			if kept > 0 {
-				fields[block] = json.RawMessage(strconv.Itoa(kept))
-			}
-		}
 		if !isUp {
 			c.place.Log.Info().Str("event", "source_read").Str("source", key).Msg("")
 		}
-		if !isUp || news.IsImage {
+		isWhole := news.IsImage || !isUp
+		place, failures, isUp = news.Place, 0, true
+		fields := c.kept.take(key, news.Kept, isWhole)
+		if isWhole {
 			fields[router.KeptUp] = json.RawMessage("1")
 		}
 		if len(fields) > 0 {
-			tell(fields, news.IsImage || !isUp)
+			c.tellKept(key, fields, isWhole)
 		}
-		isUp = true
 		_ = link.Pause(ctx, keptPause)
 	}
 }
 
+// tellKept tells the agents, and of stores the other cores, what a source keeps now.
+func (c *Core) tellKept(key string, fields register.Fields, isWhole bool) {
+	c.data.PutSoon(key, fields, isWhole)
+	if isStore(key) {
+		c.whole.PutSoon(key, fields, isWhole)
+		c.learnShared(key, fields, isWhole)
+	}
+}
+
+func isStore(key string) bool { return strings.HasPrefix(key, router.KeptPrefix+router.StoreName("")) }
+
+// learnShared takes what a store keeps: it was left there since others may share it. What this core has held back of it is told now.
+func (c *Core) learnShared(key string, fields register.Fields, isWhole bool) {
+	for source, more := range c.kept.share(key, fields, isWhole) {
+		c.data.PutSoon(source, more, false)
+	}
+}
+
+// takeShared learns of stores from the core that reads them.
+func (c *Core) takeShared(answer link.Answer) {
+	for _, e := range answer.Entries {
+		if isStore(e.Key) && len(e.Fields) > 0 {
+			c.learnShared(e.Key, e.Fields, answer.IsImage)
+		}
+	}
+}
+
+// keptNews is what this core has read of replicas. Most of what they keep is one request's own and of no use to others: while a store
+// answers, only what was left there once is told; and what is there when the reading begins, of which nobody knows any more what it is.
+type keptNews struct {
+	mu      sync.Mutex
+	stores  map[string]bool        // that answer
+	shared  map[string]bool        // keys that a store has kept
+	sources map[string]*keptSource // by key of the news
+}
+
+type keptSource struct {
+	kept map[string]int
+	told map[string]bool
+}
+
+const sharedMost = 200000 // keys of shared parts that are remembered; beyond it they are learned anew
+
+// take notes a source's news and gives those that are to be told.
+func (k *keptNews) take(source string, news map[string]int, isWhole bool) register.Fields {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := k.sources[source]
+	if s == nil || isWhole {
+		s = &keptSource{map[string]int{}, map[string]bool{}}
+		if k.sources == nil {
+			k.sources = map[string]*keptSource{}
+		}
+		k.sources[source] = s
+	}
+	fields := register.Fields{}
+	for block, kept := range news {
+		if kept > 0 {
+			s.kept[block] = kept
+		} else {
+			delete(s.kept, block)
+		}
+		k.tell(s, block, isWhole || isStore(source), fields)
+	}
+	return fields
+}
+
+// tell adds a block to the fields if it is to be told; k.mu is held.
+func (k *keptNews) tell(s *keptSource, block string, isAll bool, fields register.Fields) {
+	kept, isKept := s.kept[block]
+	switch {
+	case isKept && (isAll || len(k.stores) == 0 || k.shared[block]):
+		s.told[block] = true
+		fields[block] = json.RawMessage(strconv.Itoa(kept))
+	case !isKept && s.told[block]:
+		delete(s.told, block)
+		fields[block] = nil
+	}
+}
+
+// share notes what a store keeps, and gives by source what had been held back of it.
+func (k *keptNews) share(store string, fields register.Fields, isWhole bool) map[string]register.Fields {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stores == nil {
+		k.stores, k.shared = map[string]bool{}, map[string]bool{}
+	}
+	if isWhole {
+		delete(k.stores, store)
+	}
+	if len(k.shared) > sharedMost {
+		k.shared = map[string]bool{}
+	}
+	all := map[string]register.Fields{}
+	for block, raw := range fields {
+		isGone := register.IsGone(raw)
+		switch {
+		case block == router.KeptUp && isGone:
+			delete(k.stores, store)
+		case block == router.KeptUp:
+			k.stores[store] = true
+		case !isGone && !k.shared[block]:
+			k.shared[block] = true
+			for name, s := range k.sources {
+				if !isStore(name) && s.kept[block] > 0 && !s.told[block] {
+					if all[name] == nil {
+						all[name] = register.Fields{}
+					}
+					k.tell(s, block, false, all[name])
+				}
+			}
+		}
+	}
+	return all
+}
+
+// drop forgets a source.
+func (k *keptNews) drop(source string) register.Fields {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.sources, source)
+	return register.Fields{}
+}
+
 // takeKept passes on what a core has read of the sources that are drawn to it.
 func (a *Agent) takeKept(f *link.Follower, answer link.Answer) {
 	for _, e := range answer.Entries {
@@ -125,7 +242,7 @@
 			continue
 		}
 		if cores := a.liveCores(e.Key); len(cores) > 0 && cores[0].Address == f.Options.Address {
-			a.source.Put(e.Key, register.Stamp{}, register.Stamp{}, e.Fields, answer.IsImage)
+			a.source.PutSoon(e.Key, e.Fields, answer.IsImage)
 		}
 	}
 }
--- a/daemon/members.go
+++ b/daemon/members.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	"asterridge/blueprint"
@@ -354,7 +355,7 @@
 		c.mu.Lock()
 		for _, f := range c.followers {
 			for _, key := range f.Keys() {
-				keys[key] = keys[key] || key != router.HoldKey
+				keys[key] = keys[key] || key != router.HoldKey && !strings.HasPrefix(key, router.KeptPrefix)
 			}
 		}
 		c.mu.Unlock()
--- a/link/source.go
+++ b/link/source.go
@@ -45,7 +45,10 @@
 	AgesMs  map[string]int64 `json:"ages_ms,omitempty"` // of fields without a stamp
 }
 
-const maxTombs = 4096
+const (
+	maxTombs = 4096
+	soonTime = 300 * time.Millisecond // that hints wait for each other
+)
 
 // Source has the newest value of each field by number (§3.1).
 type Source struct {
@@ -53,6 +56,8 @@
 	run       string
 	mu        sync.Mutex
 	number    uint64
+	ripe      uint64 // asks behind it are answered at once
+	isSoon    bool   // there is more, whose time will come
 	floor     uint64 // tombstones up to here are dropped
 	tombs     int
 	keys      map[string]*sourced
@@ -112,6 +117,36 @@
 func (s *Source) Put(key string, stamp, settled register.Stamp, change register.Fields, isWhole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.put(key, stamp, settled, change, isWhole)
+	s.wake()
+}
+
+// PutSoon is Put for hints without a stamp, that may wait a little for others and for what cannot wait.
+func (s *Source) PutSoon(key string, change register.Fields, isWhole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, register.Stamp{}, register.Stamp{}, change, isWhole)
+	if !s.isSoon {
+		s.isSoon = true
+		time.AfterFunc(soonTime, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.isSoon {
+				s.wake()
+			}
+		})
+	}
+}
+
+// wake answers the asks that are held; s.mu is held.
+func (s *Source) wake() {
+	s.ripe, s.isSoon = s.number, false
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// put is Put without waking anybody; s.mu is held.
+func (s *Source) put(key string, stamp, settled register.Stamp, change register.Fields, isWhole bool) {
 	k := s.keys[key]
 	if k == nil {
 		k = &sourced{cells: map[string]cell{}}
@@ -138,8 +173,6 @@
 	for s.tombs > maxTombs {
 		s.dropTomb()
 	}
-	close(s.news)
-	s.news = make(chan struct{})
 }
 
 func (s *Source) set(key string, k *sourced, field string, value json.RawMessage) {
@@ -186,7 +219,7 @@
 		standing.Acked = ask.From
 	}
 	s.followers[ask.Name] = standing
-	if isSame && ask.From == s.number && ask.WaitMs > 0 {
+	if isSame && ask.From >= s.ripe && ask.WaitMs > 0 {
 		news := s.news
 		s.mu.Unlock()
 		schedule := time.NewTimer(time.Duration(min(ask.WaitMs, 1000)) * time.Millisecond)
