--- /dev/null
+++ b/cmd/hollow/backend.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/daemon"
+	"asterridge/link"
+)
+
+// hollowBackend lists replicas that do not exist, and makes up the news of what they keep.
+type hollowBackend struct {
+	setup setup
+	mu    sync.Mutex
+	news  map[string]*keptNews
+}
+
+// keptNews is what one replica keeps: a window of numbered blocks that moves on.
+type keptNews struct {
+	first, next int
+	at          time.Time
+}
+
+func newHollowBackend(s setup) *hollowBackend {
+	return &hollowBackend{setup: s, news: map[string]*keptNews{}}
+}
+
+func replicaName(i int) string { return fmt.Sprintf("replica-%04d", i+1) }
+
+func modelName(i int) string { return fmt.Sprintf("model-%d", i+1) }
+
+func hollowReplica(i, models int, address string) blueprint.Replica {
+	return blueprint.Replica{Name: replicaName(i), Address: address, Pool: modelName(i % models), Zone: fmt.Sprintf("zone-%d", i%zones+1), State: "present", Limit: 8,
+		Models: map[string]uint64{modelName(i % models): 1}}
+}
+
+// List gives the replicas, at addresses that nobody calls.
+func (b *hollowBackend) List(context.Context) (all []blueprint.Replica, err error) {
+	for i := range b.setup.Replicas {
+		all = append(all, hollowReplica(i, b.setup.Models, fmt.Sprintf("127.3.%d.%d:9", 1+i/200, 1+i%200)))
+	}
+	return all, nil
+}
+
+// Versions says that each replica has the first version.
+func (b *hollowBackend) Versions(_ context.Context, r blueprint.Replica) (map[string]uint64, bool, error) {
+	return r.Models, false, nil
+}
+
+// Load does nothing.
+func (b *hollowBackend) Load(context.Context, blueprint.Replica, daemon.Order) error { return nil }
+
+// Kept gives all that is kept at first, and then as many events as the rate has it: half of them blocks got, half dropped.
+func (b *hollowBackend) Kept(ctx context.Context, address string, from daemon.KeptPlace, wait time.Duration) (daemon.KeptNews, error) {
+	key := func(n int) string { return fmt.Sprintf("common@1/%s/%016x", address[6:], uint64(n)*0x9e3779b97f4a7c15) }
+	b.mu.Lock()
+	k, isFirst := b.news[address], from == daemon.KeptPlace{}
+	if k == nil {
+		k = &keptNews{next: b.setup.Blocks / b.setup.Replicas, at: time.Now()}
+		b.news[address] = k
+	}
+	b.mu.Unlock()
+	news := daemon.KeptNews{Kept: map[string]int{}, IsImage: isFirst}
+	if !isFirst {
+		if b.setup.Events == 0 {
+			return daemon.KeptNews{Place: from}, link.Pause(ctx, wait)
+		}
+		_ = link.Pause(ctx, wait/4) // news come long before a held call ends
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if isFirst {
+		for n := k.first; n < k.next; n++ {
+			news.Kept[key(n)] = 512
+		}
+		k.at = time.Now()
+	}
+	pairs := int(time.Since(k.at).Seconds() * b.setup.Events / float64(b.setup.Replicas) / 2)
+	if pairs > 0 {
+		k.at = time.Now()
+	}
+	for range pairs {
+		news.Kept[key(k.next)] = 512
+		news.Kept[key(k.first)] = 0
+		k.next++
+		k.first++
+	}
+	news.Place = daemon.KeptPlace{Epoch: 1, Next: uint64(k.next) + 1}
+	return news, nil
+}
--- /dev/null
+++ b/cmd/hollow/child.go
@@ -0,0 +1,366 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+
+	"asterridge/daemon"
+	"asterridge/disk"
+	"asterridge/platform"
+	"asterridge/router"
+)
+
+// setup says which daemons a child has, and how they are set.
+type setup struct {
+	Role       string // cores, agents or proxies
+	Count      int
+	Cores      []string // addresses
+	Agents     []string // loopback addresses of agents, for proxies
+	IsPlatform bool     // set as on the users' platform; else as by our own defaults
+	Folder     string   // of the cores' disks
+	Replicas   int
+	Models     int
+	Blocks     int     // kept by all replicas together
+	Events     float64 // of kept blocks, a second, by all replicas together
+	Index      int     // entries of a proxy's index
+}
+
+// started is a child's first answer.
+type started struct {
+	Addresses []string
+	Locals    []string // where proxies reach the agents
+	Failure   string
+}
+
+// order asks a child for something.
+type order struct {
+	Do   string // sample, collect (the same after a collection), or restart
+	Core int
+}
+
+// sample is a child's state at one moment.
+type sample struct {
+	At          time.Time
+	Processor   float64 // seconds, user and system
+	Heap        uint64  // bytes in use
+	Stack       uint64
+	Resident    uint64
+	Descriptors int
+	Goroutines  int
+	Files       int64 // of the cores' disks
+	FileBytes   int64
+	Traffic     map[string]traffic
+	Current     int // daemons that are current
+	Lost        int // times that a daemon ceased to be
+	InForce     map[uint64]inForce
+	Failure     string
+}
+
+// inForce is how many daemons use a version of the blueprint, and since when the last of them does.
+type inForce struct {
+	Count int
+	Last  time.Time
+}
+
+// journal reads the daemons' log lines for what they say of versions and currency.
+type journal struct {
+	mu      sync.Mutex
+	current map[string]bool
+	lost    int
+	inForce map[uint64]inForce
+}
+
+func newJournal() *journal {
+	return &journal{current: map[string]bool{}, inForce: map[uint64]inForce{}}
+}
+
+// Write takes one line.
+func (j *journal) Write(line []byte) (int, error) {
+	var said struct {
+		Event     string `json:"event"`
+		Daemon    string `json:"daemon"`
+		IsCurrent bool   `json:"is_current"`
+		Blueprint uint64 `json:"blueprint"`
+		Version   uint64 `json:"version"`
+		Key       string `json:"key"`
+	}
+	if json.Unmarshal(line, &said) != nil {
+		return len(line), nil
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	switch {
+	case said.Event == "currency":
+		if j.current[said.Daemon] && !said.IsCurrent {
+			j.lost++
+		}
+		j.current[said.Daemon] = said.IsCurrent
+	case said.Event == "view" || said.Event == "applied" && said.Key == "blueprint":
+		version := max(said.Blueprint, said.Version)
+		f := j.inForce[version]
+		j.inForce[version] = inForce{f.Count + 1, time.Now()}
+	}
+	return len(line), nil
+}
+
+const fleetName = "hollow"
+
+// child runs the daemons of one role.
+type child struct {
+	setup   setup
+	ctx     context.Context
+	counter *counter
+	journal *journal
+	log     zerolog.Logger
+	backend *hollowBackend
+	cores   []*running
+	all     sync.WaitGroup
+}
+
+// running is a core that can be started again on its own disk.
+type running struct {
+	place daemon.Place
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+// serveChild runs a child by the orders that come, until they end.
+func serveChild(in io.Reader, out io.Writer) error {
+	lines, answers := bufio.NewReader(in), json.NewEncoder(out)
+	asked := json.NewDecoder(lines)
+	var s setup
+	if err := asked.Decode(&s); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	c := &child{setup: s, ctx: ctx, counter: newCounter(), journal: newJournal()}
+	c.log = zerolog.New(c.journal)
+	defer c.all.Wait()
+	defer stop()
+	made, err := c.start()
+	if err != nil {
+		made.Failure = err.Error()
+	}
+	if failure := answers.Encode(made); failure != nil || err != nil {
+		return err
+	}
+	for {
+		var o order
+		if asked.Decode(&o) != nil {
+			return nil // the parent has gone
+		}
+		var failure error
+		if o.Do == "restart" {
+			failure = c.restart(o.Core)
+		}
+		now := c.sample(o.Do == "collect")
+		if failure != nil {
+			now.Failure = failure.Error()
+		}
+		if err := answers.Encode(now); err != nil {
+			return nil
+		}
+	}
+}
+
+func (c *child) start() (started, error) {
+	switch c.setup.Role {
+	case "cores":
+		return c.startCores()
+	case "agents":
+		return c.startAgents()
+	case "proxies":
+		return c.startProxies()
+	}
+	return started{}, fmt.Errorf("role %q", c.setup.Role)
+}
+
+func (c *child) place(role string, i, zones int, address string) daemon.Place {
+	host, _, _ := net.SplitHostPort(address)
+	name := fmt.Sprintf("%s-%03d", role, i+1)
+	network := &countingNet{counter: c.counter}
+	network.LocalAddr = &net.TCPAddr{IP: net.ParseIP(host)}
+	return daemon.Place{Name: name, Fleet: fleetName, Zone: fmt.Sprintf("zone-%d", i%zones+1), Address: address, Seeds: c.setup.Cores[:min(3, len(c.setup.Cores))],
+		Net: network, Log: c.log.With().Str("daemon", name).Logger()}
+}
+
+// listen opens a free port on a loopback address of its own.
+func listen(group, i int) (net.Listener, error) {
+	return net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", group, 1+i/200, 1+i%200))
+}
+
+func (c *child) startCores() (s started, err error) {
+	var open []net.Listener
+	for i := range c.setup.Count {
+		l, err := listen(1, i)
+		if err != nil {
+			return s, err
+		}
+		open = append(open, l)
+		s.Addresses = append(s.Addresses, l.Addr().String())
+	}
+	c.backend = newHollowBackend(c.setup)
+	for i, l := range open {
+		place := c.place("core", i, c.setup.Count, s.Addresses[i])
+		place.Seeds = append(append([]string{}, s.Addresses[:i]...), s.Addresses[i+1:]...)
+		r := &running{place: place}
+		c.cores = append(c.cores, r)
+		if err := c.runCore(i, l); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func (c *child) runCore(i int, l net.Listener) error {
+	r := c.cores[i]
+	folder, err := disk.NewFolder(filepath.Join(c.setup.Folder, r.place.Name))
+	if err != nil {
+		return err
+	}
+	options := daemon.CoreOptions{ClaimAge: time.Hour}
+	if c.setup.IsPlatform {
+		options = platformBounds.Core()
+		options.Backend = c.backend
+	}
+	core, err := daemon.NewCore(r.place, folder, options)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(c.ctx)
+	r.stop, r.ended = stop, make(chan struct{})
+	c.all.Go(func() {
+		defer close(r.ended)
+		_ = core.Serve(ctx, l)
+	})
+	return nil
+}
+
+// restart ends a core and starts it again at its address with its disk.
+func (c *child) restart(i int) error {
+	if i >= len(c.cores) {
+		return fmt.Errorf("no core %d here", i)
+	}
+	c.cores[i].stop()
+	<-c.cores[i].ended
+	l, err := net.Listen("tcp", c.cores[i].place.Address)
+	if err != nil {
+		return err
+	}
+	return c.runCore(i, l)
+}
+
+// platformBounds are such as the users' deployments have.
+var platformBounds = daemon.Bounds{IsClosed: true, Revoke: 5 * time.Second, Apply: 12 * time.Second, Version: 20 * time.Second, Lease: 3 * time.Second,
+	Drain: 3 * time.Second, Grace: 5 * time.Second, MemoryMB: 64}
+
+func (c *child) startAgents() (s started, err error) {
+	for i := range c.setup.Count {
+		local, err := listen(2, i)
+		if err != nil {
+			return s, err
+		}
+		outer, err := listen(2, i)
+		if err != nil {
+			return s, err
+		}
+		options := daemon.AgentOptions{}
+		if c.setup.IsPlatform {
+			options = platformBounds.Agent()
+			options.Dialect, options.Grace = platform.Dialect{}, 0
+		}
+		agent := daemon.NewAgent(c.place("agent", i, zones, outer.Addr().String()), nil, options)
+		c.all.Go(func() { _ = agent.Serve(c.ctx, local, outer) })
+		s.Addresses, s.Locals = append(s.Addresses, outer.Addr().String()), append(s.Locals, local.Addr().String())
+	}
+	return s, nil
+}
+
+// startProxies starts the routers with all that follows their agents; no caller reaches them.
+func (c *child) startProxies() (s started, err error) {
+	for i, agent := range c.setup.Agents {
+		place := c.place("proxy", i, zones, agent)
+		options := router.Options{Name: place.Name, Zone: place.Zone, Fleet: fleetName, Agent: agent, Net: place.Net, Log: place.Log, Index: c.setup.Index, Seed: uint64(i)}
+		if c.setup.IsPlatform {
+			options.Dialect, options.AgentWait = platform.Dialect{}, platformBounds.Proxy().AgentWait
+		}
+		r := router.New(options)
+		c.all.Go(func() { r.Run(c.ctx) })
+	}
+	return s, nil
+}
+
+func (c *child) sample(isCollected bool) sample {
+	if isCollected {
+		runtime.GC()
+	}
+	s := sample{At: time.Now(), Goroutines: runtime.NumGoroutine(), Traffic: c.counter.all(), InForce: map[uint64]inForce{}}
+	var used unix.Rusage
+	_ = unix.Getrusage(unix.RUSAGE_SELF, &used) // cannot fail for oneself
+	s.Processor = seconds(used.Utime) + seconds(used.Stime)
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	s.Heap, s.Stack, s.Resident = memory.HeapAlloc, memory.StackInuse, resident()
+	if files, err := os.ReadDir("/proc/self/fd"); err == nil {
+		s.Descriptors = len(files)
+	}
+	if c.setup.Folder != "" {
+		_ = filepath.WalkDir(c.setup.Folder, func(_ string, entry os.DirEntry, err error) error {
+			if err != nil || entry.IsDir() {
+				return nil // files come and go
+			}
+			if about, err := entry.Info(); err == nil {
+				s.Files++
+				s.FileBytes += about.Size()
+			}
+			return nil
+		})
+	}
+	c.journal.mu.Lock()
+	defer c.journal.mu.Unlock()
+	for _, isCurrent := range c.journal.current {
+		if isCurrent {
+			s.Current++
+		}
+	}
+	s.Lost = c.journal.lost
+	for version, f := range c.journal.inForce {
+		s.InForce[version] = f
+	}
+	return s
+}
+
+func seconds(t unix.Timeval) float64 { return float64(t.Sec) + float64(t.Usec)/1e6 }
+
+// resident is the memory of this process that is in the machine's.
+func resident() uint64 {
+	raw, err := os.ReadFile("/proc/self/statm")
+	fields := strings.Fields(string(raw))
+	if err != nil || len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseUint(fields[1], 10, 64) // the kernel writes whole numbers
+	return pages * uint64(os.Getpagesize())
+}
+
+// serveReports answers as replicas of our own interface do, for agents that poll them.
+func serveReports(l net.Listener) {
+	_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"run":"a","number":1,"weights":"w1","running":3,"warm":true,"rate":4,"image":false}`)
+	}))
+}
--- /dev/null
+++ b/cmd/hollow/count.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"asterridge/link"
+)
+
+// traffic is what was sent and received on one path, in messages and bytes above TCP.
+type traffic struct {
+	Messages int
+	HeadOut  int64
+	BodyOut  int64
+	HeadIn   int64
+	BodyIn   int64
+	Images   int
+	Last     time.Time // when the last byte came
+}
+
+func (t *traffic) add(other traffic) {
+	t.Messages += other.Messages
+	t.HeadOut += other.HeadOut
+	t.BodyOut += other.BodyOut
+	t.HeadIn += other.HeadIn
+	t.BodyIn += other.BodyIn
+	t.Images += other.Images
+	if other.Last.After(t.Last) {
+		t.Last = other.Last
+	}
+}
+
+func (t traffic) minus(before traffic) traffic {
+	return traffic{Messages: t.Messages - before.Messages, HeadOut: t.HeadOut - before.HeadOut, BodyOut: t.BodyOut - before.BodyOut,
+		HeadIn: t.HeadIn - before.HeadIn, BodyIn: t.BodyIn - before.BodyIn, Images: t.Images - before.Images, Last: t.Last}
+}
+
+func (t traffic) bytes() float64 { return float64(t.HeadOut + t.BodyOut + t.HeadIn + t.BodyIn) }
+
+// counter sums the traffic of all daemons of a child, by path.
+type counter struct {
+	mu     sync.Mutex
+	byPath map[string]*traffic
+}
+
+func newCounter() *counter { return &counter{byPath: map[string]*traffic{}} }
+
+// count changes the sums of one path.
+func (c *counter) count(path string, change func(*traffic)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.byPath[path]
+	if t == nil {
+		t = &traffic{}
+		c.byPath[path] = t
+	}
+	change(t)
+}
+
+func (c *counter) all() map[string]traffic {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := map[string]traffic{}
+	for path, t := range c.byPath {
+		all[path] = *t
+	}
+	return all
+}
+
+// countingNet is the machine's network, which counts what its daemons ask of others and what they are answered.
+type countingNet struct {
+	link.TCP
+	counter *counter
+}
+
+// DialContext connects; what the connection carries is counted.
+func (n *countingNet) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := n.TCP.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c, counter: n.counter}, nil
+}
+
+// countedConn reads the requests' first lines as they pass. HTTP/1.1 has one request on a connection at a time.
+type countedConn struct {
+	net.Conn
+	counter *counter
+	mu      sync.Mutex
+	path    string
+	isHead  bool // the answer's head has not ended
+	isFirst bool // nothing of the answer's body has come
+}
+
+var headEnd = []byte("\r\n\r\n")
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.mu.Lock()
+	head := 0
+	if bytes.HasPrefix(b, []byte("POST ")) || bytes.HasPrefix(b, []byte("GET ")) {
+		c.path, _, _ = strings.Cut(strings.Fields(string(b[:min(len(b), 200)]))[1], "?")
+		c.isHead, c.isFirst = true, true
+		head = min(n, max(bytes.Index(b, headEnd), 0)+len(headEnd))
+	}
+	path := c.path
+	c.mu.Unlock()
+	c.counter.count(path, func(t *traffic) {
+		if head > 0 {
+			t.Messages++
+		}
+		t.HeadOut += int64(head)
+		t.BodyOut += int64(n - head)
+	})
+	return n, err
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	path, head, images := c.path, 0, 0
+	if c.isHead && n > 0 {
+		head = n
+		if end := bytes.Index(b[:n], headEnd); end >= 0 {
+			head, c.isHead = end+len(headEnd), false
+		}
+	}
+	if body := b[head:n]; len(body) > 0 && c.isFirst {
+		c.isFirst = false
+		if bytes.Contains(body[:min(len(body), 300)], []byte(`"image":true`)) {
+			images = 1
+		}
+	}
+	c.mu.Unlock()
+	if n > 0 {
+		c.counter.count(path, func(t *traffic) {
+			t.HeadIn += int64(head)
+			t.BodyIn += int64(n - head)
+			t.Images += images
+			t.Last = time.Now()
+		})
+	}
+	return n, err
+}
--- /dev/null
+++ b/cmd/hollow/fleet.go
@@ -0,0 +1,324 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/daemon"
+	"asterridge/link"
+	"asterridge/register"
+	"asterridge/router"
+)
+
+const (
+	coreCount = 4
+	zones     = 5
+	startWait = 60 * time.Second
+)
+
+// part is a child with its orders' way.
+type part struct {
+	asked   *json.Encoder
+	answers *json.Decoder
+	started started
+	end     func()
+}
+
+// starter begins a child that reads orders and writes answers.
+type starter func() (in io.WriteCloser, out io.Reader, end func(), err error)
+
+// startProcess runs a child as a process of its own, which ends with its input.
+func startProcess() (io.WriteCloser, io.Reader, func(), error) {
+	cmd := exec.Command(os.Args[0], "-child")
+	cmd.Stderr = os.Stderr
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	end := func() {
+		_ = in.Close()
+		late := time.AfterFunc(10*time.Second, func() { _ = cmd.Process.Kill() })
+		_ = cmd.Wait()
+		late.Stop()
+	}
+	return in, out, end, cmd.Start()
+}
+
+func startPart(start starter, s setup) (*part, error) {
+	in, out, end, err := start()
+	if err != nil {
+		return nil, err
+	}
+	p := &part{asked: json.NewEncoder(in), answers: json.NewDecoder(out), end: end}
+	if err = p.asked.Encode(s); err == nil {
+		err = p.answers.Decode(&p.started)
+	}
+	if err == nil && p.started.Failure != "" {
+		err = fmt.Errorf("%s: %s", s.Role, p.started.Failure)
+	}
+	if err != nil {
+		end()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *part) do(o order) (sample, error) {
+	var s sample
+	if err := p.asked.Encode(o); err != nil {
+		return s, err
+	}
+	err := p.answers.Decode(&s)
+	if err == nil && s.Failure != "" {
+		err = fmt.Errorf("%s: %s", o.Do, s.Failure)
+	}
+	return s, err
+}
+
+// size is what a hollow fleet is made up of.
+type size struct {
+	daemons, replicas, tenants, models int
+	blocks                             int
+	events                             float64
+	isPlatform                         bool
+	isPolled                           bool // the replicas' reports are answered
+	index                              int
+}
+
+// fleet is a hollow one: real cores, agents and routers, without callers and replicas.
+type fleet struct {
+	size    size
+	folder  string
+	wire    *link.Wire
+	cores   *part
+	agents  *part
+	proxies *part
+	number  uint64
+	reports net.Listener
+}
+
+// state is one moment of all three parts.
+type state struct{ cores, agents, proxies sample }
+
+func startFleet(ctx context.Context, start starter, s size) (f *fleet, err error) {
+	f = &fleet{size: s, wire: link.NewWire(fleetName, &link.TCP{})}
+	defer func() {
+		if err != nil {
+			f.stop()
+		}
+	}()
+	if f.folder, err = os.MkdirTemp("", "hollow-"); err != nil {
+		return f, err
+	}
+	common := setup{IsPlatform: s.isPlatform, Replicas: s.replicas, Models: s.models, Blocks: s.blocks, Events: s.events, Index: s.index}
+	made := common
+	made.Role, made.Count, made.Folder = "cores", coreCount, f.folder
+	if f.cores, err = startPart(start, made); err != nil {
+		return f, err
+	}
+	if err = eventually(ctx, "the cores found a fleet", f.isFounded); err != nil {
+		return f, err
+	}
+	if err = f.declare(ctx); err != nil {
+		return f, err
+	}
+	made = common
+	made.Role, made.Count, made.Cores = "agents", s.daemons, f.cores.started.Addresses
+	if f.agents, err = startPart(start, made); err != nil {
+		return f, err
+	}
+	made.Role, made.Agents = "proxies", f.agents.started.Locals
+	if f.proxies, err = startPart(start, made); err != nil {
+		return f, err
+	}
+	return f, eventually(ctx, "all daemons are current", func() bool {
+		now, err := f.look("sample")
+		return err == nil && now.agents.Current == s.daemons && now.proxies.Current == s.daemons
+	})
+}
+
+func (f *fleet) stop() {
+	for _, p := range []*part{f.proxies, f.agents, f.cores} {
+		if p != nil {
+			p.end()
+		}
+	}
+	if f.reports != nil {
+		_ = f.reports.Close()
+	}
+	_ = os.RemoveAll(f.folder)
+}
+
+func (f *fleet) look(do string) (now state, err error) {
+	for _, one := range []struct {
+		part *part
+		into *sample
+	}{{f.cores, &now.cores}, {f.agents, &now.agents}, {f.proxies, &now.proxies}} {
+		if err == nil {
+			*one.into, err = one.part.do(order{Do: do})
+		}
+	}
+	return now, err
+}
+
+func (f *fleet) isFounded() bool {
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	for _, address := range f.cores.started.Addresses {
+		h, err := link.Call[daemon.Hello](ctx, f.wire, address, "/core/hello", daemon.Hello{})
+		if err != nil || len(h.Members) != coreCount {
+			return false
+		}
+	}
+	return true
+}
+
+// blueprintOf is a configuration with so many tenants and models.
+func blueprintOf(s size) *blueprint.Blueprint {
+	b := blueprint.Empty()
+	for i := range s.tenants {
+		name := fmt.Sprintf("tenant-%03d", i+1)
+		b.Tenants[name] = blueprint.Tenant{Name: name, Weight: 1 + i%9, Backlog: 256, Scope: "tenant", IsWalled: i%4 == 0, Keys: []string{blueprint.HashKey(name)}}
+	}
+	for i := range s.models {
+		name := modelName(i)
+		b.Pools[name] = blueprint.Pool{Name: name, Kind: "model", Models: []string{name}, UnitBytes: 1000, LinkMbps: 1000}
+		if s.blocks > 0 || s.events > 0 {
+			p := b.Pools[name]
+			p.MaxReaders = 4
+			b.Pools[name] = p
+		}
+		b.Paths[name] = blueprint.Path{Name: name, Address: "/v1/" + name, Model: name, Pool: name, DeadlineMs: 30000, MaxBody: 1 << 20, Cost: 1, AimMs: 2000}
+	}
+	return b
+}
+
+// declare has the first configuration and the replicas accepted.
+func (f *fleet) declare(ctx context.Context) error {
+	b := blueprintOf(f.size)
+	if err := f.change(ctx, b.Fields(), true); err != nil {
+		return err
+	}
+	if f.size.isPlatform {
+		return nil // the cores list the replicas by themselves
+	}
+	address := "127.3.0.1:9"
+	if f.size.isPolled {
+		l, err := listen(3, 0)
+		if err != nil {
+			return err
+		}
+		f.reports, address = l, l.Addr().String()
+		go serveReports(l)
+	}
+	var told []map[string]any
+	for i := range f.size.replicas {
+		r := hollowReplica(i, f.size.models, address)
+		told = append(told, map[string]any{"name": r.Name, "address": r.Address, "pool": r.Pool, "zone": r.Zone, "limit": r.Limit})
+	}
+	text, err := json.Marshal(map[string]any{"replicas": told})
+	if err != nil {
+		return err
+	}
+	_, err = link.Call[daemon.Accepted](ctx, f.wire, f.cores.started.Addresses[0], "/op/replicas", daemon.ReplicasOrder{Text: text})
+	return err
+}
+
+// change declares the next numbered configuration.
+func (f *fleet) change(ctx context.Context, items register.Fields, isWhole bool) error {
+	_, err := f.changed(ctx, items, isWhole)
+	return err
+}
+
+func (f *fleet) changed(ctx context.Context, items register.Fields, isWhole bool) (uint64, error) {
+	d := blueprint.Declaration{Number: f.number + 1, BasedOn: f.number, IsWhole: isWhole, Digest: fmt.Sprint(f.number + 1), Items: items, Texts: register.Fields{}}
+	for name, raw := range items {
+		if name != "hold" && name != "limits" {
+			d.Texts[name] = raw
+			d.Order = append(d.Order, name)
+		}
+	}
+	a, err := link.Call[daemon.Accepted](ctx, f.wire, f.cores.started.Addresses[int(f.number)%coreCount], "/op/declaration", d)
+	if err == nil {
+		f.number++
+	}
+	return a.Version, err
+}
+
+// changeTime changes one tenant and waits until every proxy uses it: how long until the yes, and until the last proxy.
+func (f *fleet) changeTime(ctx context.Context) (accepted, everywhere time.Duration, err error) {
+	name := "tenant-001"
+	t := blueprintOf(f.size).Tenants[name]
+	t.Weight = 1 + int(f.number)%90
+	began := time.Now()
+	version, err := f.changed(ctx, blueprint.Field("tenant/"+name, t), false)
+	if err != nil {
+		return 0, 0, err
+	}
+	accepted = time.Since(began)
+	err = eventually(ctx, "all proxies use a change", func() bool {
+		now, err := f.proxies.do(order{Do: "sample"})
+		seen := now.InForce[version]
+		everywhere = seen.Last.Sub(began)
+		return err == nil && seen.Count >= f.size.daemons
+	})
+	return accepted, everywhere, err
+}
+
+// claims keeps so many claims on their way for a while: how many were taken a second, and how long one took.
+func (f *fleet) claims(ctx context.Context, at int, length time.Duration) (perSecond float64, mean time.Duration, err error) {
+	ctx, stop := context.WithTimeout(ctx, length+10*time.Second)
+	defer stop()
+	began, end := time.Now(), time.Now().Add(length)
+	results := make(chan error, at)
+	taken := make([]int, at)
+	for i := range at {
+		go func() {
+			for time.Now().Before(end) {
+				key := fmt.Sprintf("%d.%d.%d", i, taken[i], rand.Uint64())
+				o := daemon.ClaimOrder{Claim: router.Claim{Tenant: "tenant-001", Key: key, Nonce: key, State: "running"}, Proxy: "proxy-001.x"}
+				address := f.cores.started.Addresses[(i+taken[i])%coreCount]
+				if _, err := link.Call[struct{}](ctx, f.wire, address, "/op/claim", o); err != nil {
+					results <- err
+					return
+				}
+				taken[i]++
+			}
+			results <- nil
+		}()
+	}
+	sum := 0
+	for range at {
+		if failure := <-results; failure != nil {
+			err = failure
+		}
+	}
+	for _, n := range taken {
+		sum += n
+	}
+	took := time.Since(began)
+	return float64(sum) / took.Seconds(), took * time.Duration(at) / time.Duration(max(1, sum)), err
+}
+
+func eventually(ctx context.Context, what string, isSo func() bool) error {
+	ctx, stop := context.WithTimeout(ctx, startWait)
+	defer stop()
+	for !isSo() {
+		if link.Pause(ctx, 20*time.Millisecond) != nil {
+			return fmt.Errorf("not within %v: %s", startWait, what)
+		}
+	}
+	return nil
+}
