An agent takes news of kept prompts from the core that answers, however large the answer

Found by hollow: of 100,000 kept blocks an agent got a part only (15 MB of heap where 30,000 blocks took 12), since the answer with all of them took over a second, after which its own core counted as silent and its news were dropped for good.

--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -554,12 +554,13 @@
 	return struct{}{}, err
 }
 
-// liveCores lists the members that answer, the one that would own the key first.
-func (a *Agent) liveCores(key string) (live []blueprint.Member) {
+// liveCores lists the members that answer, the one that would own the key first. Who answers in this moment counts, however long ago its
+// ask was sent.
+func (a *Agent) liveCores(key string, answering ...*link.Follower) (live []blueprint.Member) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, m := range a.members {
-		if f := a.links[m.Address]; f != nil && time.Since(f.FreshOf(m.Incarnation)) < liveTime {
+		if f := a.links[m.Address]; f != nil && (slices.Contains(answering, f) || time.Since(f.FreshOf(m.Incarnation)) < liveTime) {
 			live = append(live, m)
 		}
 	}
--- a/daemon/kept.go
+++ b/daemon/kept.go
@@ -124,7 +124,7 @@
 		if !strings.HasPrefix(e.Key, router.KeptPrefix) || len(e.Fields) == 0 {
 			continue
 		}
-		if cores := a.liveCores(e.Key); len(cores) > 0 && cores[0].Address == f.Options.Address {
+		if cores := a.liveCores(e.Key, f); len(cores) > 0 && cores[0].Address == f.Options.Address {
 			a.source.Put(e.Key, register.Stamp{}, register.Stamp{}, e.Fields, answer.IsImage)
 		}
 	}
