--- a/link/source.go
+++ b/link/source.go
@@ -53,8 +53,8 @@
 	run       string
 	mu        sync.Mutex
 	number    uint64
-	floor     uint64 // tombstones up to here are dropped
-	tombs     int
+	floor     uint64               // tombstones up to here are dropped
+	tombs     *btree.BTreeG[place] // fields that are gone, by number
 	keys      map[string]*sourced
 	order     *btree.BTreeG[place]
 	news      chan struct{}
@@ -78,6 +78,8 @@
 	key, field string
 }
 
+func isBefore(a, b place) bool { return a.number < b.number }
+
 // Standing is what a source knows of a follower.
 type Standing struct {
 	Name    string                    `json:"name"`
@@ -100,7 +102,8 @@
 func NewSource(options SourceOptions) *Source {
 	return &Source{
 		options: options, run: rand.Text(), keys: map[string]*sourced{}, news: make(chan struct{}),
-		order:     btree.NewG(32, func(a, b place) bool { return a.number < b.number }),
+		order:     btree.NewG(32, isBefore),
+		tombs:     btree.NewG(32, isBefore),
 		followers: map[string]Standing{},
 	}
 }
@@ -135,7 +138,7 @@
 	s.order.Delete(place{number: k.number})
 	k.number = s.number
 	s.order.ReplaceOrInsert(place{s.number, key, ""})
-	for s.tombs > maxTombs {
+	for s.tombs.Len() > maxTombs {
 		s.dropTomb()
 	}
 	close(s.news)
@@ -149,9 +152,8 @@
 		if !isThere || old.value == nil {
 			return
 		}
-		s.tombs++
 	} else if isThere && old.value == nil {
-		s.tombs--
+		s.tombs.Delete(place{number: old.number})
 	} else if isThere && string(old.value) == string(value) && k.stamp != (register.Stamp{}) {
 		return
 	}
@@ -161,20 +163,16 @@
 	s.number++
 	k.cells[field] = cell{value, s.number, time.Now()}
 	s.order.ReplaceOrInsert(place{s.number, key, field})
+	if value == nil {
+		s.tombs.ReplaceOrInsert(place{s.number, key, field})
+	}
 }
 
 func (s *Source) dropTomb() {
-	s.order.Ascend(func(p place) bool {
-		k := s.keys[p.key]
-		if p.field == "" || k.cells[p.field].value != nil {
-			return true
-		}
-		delete(k.cells, p.field)
-		s.order.Delete(p)
-		s.floor = p.number
-		s.tombs--
-		return false
-	})
+	p, _ := s.tombs.DeleteMin()
+	delete(s.keys[p.key].cells, p.field)
+	s.order.Delete(p)
+	s.floor = p.number
 }
 
 // Pull answers an ask, at once if there is news, or after the wait.
