--- a/blueprint/blueprint.go
+++ b/blueprint/blueprint.go
@@ -104,6 +104,7 @@
 	Paths   map[string]Path
 	Hold    Hold
 	Limits  Limits
+	IsOpen  bool // declared without tenants: nobody needs an access key
 }
 
 // Empty is a blueprint with the default hold.
@@ -131,6 +132,8 @@
 			err = json.Unmarshal(raw, &b.Hold)
 		case "limits":
 			err = json.Unmarshal(raw, &b.Limits)
+		case "open":
+			b.IsOpen = true
 		}
 		if err != nil {
 			return nil, fail.Wrap(err, fail.Malformed, "register field "+name)
@@ -179,6 +182,9 @@
 	if b.Limits != (Limits{}) {
 		put("limits", b.Limits)
 	}
+	if b.IsOpen {
+		put("open", true)
+	}
 	return fields
 }
 
--- a/blueprint/declaration.go
+++ b/blueprint/declaration.go
@@ -140,6 +140,8 @@
 		return nil, err
 	}
 	b.Inherit(base, version+1)
+	b.IsOpen = len(b.Tenants) == 0
+	delete(made, "open")
 	made.Apply(b.Fields())
 	return Delta(now, made), nil
 }
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -52,6 +52,7 @@
 	proxies       register.Fields
 	silent        map[string]bool // members, by address
 	named         router.Named
+	readers       map[string]string // by key of news of kept prompts: the core they are taken from
 	replicas      map[string]context.CancelFunc
 	watched       map[string]blueprint.Replica
 }
@@ -90,7 +91,7 @@
 		place: place, dialect: options.Dialect, wire: link.NewWire(place.Fleet, place.Net),
 		plain: newPlain(place.Net),
 		links: map[string]*link.Follower{}, applied: map[string]register.Stamp{}, undecided: map[string]doubt{},
-		why: "no core found yet", proxies: register.Fields{}, silent: map[string]bool{}, replicas: map[string]context.CancelFunc{}, watched: map[string]blueprint.Replica{},
+		why: "no core found yet", proxies: register.Fields{}, silent: map[string]bool{}, readers: map[string]string{}, replicas: map[string]context.CancelFunc{}, watched: map[string]blueprint.Replica{},
 	}
 	a.ring = newRing(place, "agent", a.wire)
 	a.source = link.NewSource(link.SourceOptions{Remaining: a.remaining})
@@ -121,6 +122,7 @@
 	outer.Handle("POST /core/hello", link.Serve(fleet, a.hello))
 	link.ServeReady(outer, func() bool { return a.remaining() > 0 })
 	go every(ctx, helloTime, func() { a.discover(ctx) })
+	go every(ctx, keptStep, a.changeReaders)
 	go a.ring.Run(ctx)
 	go every(ctx, time.Minute, func() { a.table.Prune(time.Hour) })
 	go func() { _ = serve(ctx, listener, outer, time.Second) }()
@@ -568,12 +570,13 @@
 	return struct{}{}, err
 }
 
-// liveCores lists the members that answer, the one that would own the key first.
-func (a *Agent) liveCores(key string) (live []blueprint.Member) {
+// liveCores lists the members that answer, the one that would own the key first. Who answers in this moment counts, however long ago its
+// ask was sent.
+func (a *Agent) liveCores(key string, answering ...*link.Follower) (live []blueprint.Member) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, m := range a.members {
-		if f := a.links[m.Address]; f != nil && time.Since(f.FreshOf(m.Incarnation)) < liveTime {
+		if f := a.links[m.Address]; f != nil && (slices.Contains(answering, f) || time.Since(f.FreshOf(m.Incarnation)) < liveTime) {
 			live = append(live, m)
 		}
 	}
--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -110,12 +110,13 @@
 	replica blueprint.Replica
 	order   blueprint.LoadOrder
 	isOpen  bool // its mark stands already
+	most    int  // that may be marked in its pool
 }
 
 func (l *loader) step(ctx context.Context) {
 	c := l.core
 	l.seat.Watch()
-	due, gone, most := l.survey()
+	due, gone := l.survey()
 	fence, isOurs := l.seat.Holds()
 	if len(due) == 0 && len(gone) == 0 || c.council().self == nil {
 		return
@@ -132,14 +133,14 @@
 	for _, name := range gone {
 		change[name] = nil
 	}
-	open := 0
+	open := map[string]int{} // by pool
 	for _, d := range due {
-		name := d.replica.Name
+		name, pool := d.replica.Name, d.replica.Pool
 		switch {
 		case d.isOpen:
-			open++
-		case open < most && now.After(l.resting[name]): // open marks come first, so that all are counted by now
-			open++
+			open[pool]++
+		case open[pool] < d.most && now.After(l.resting[name]): // open marks come first, so that all are counted by now
+			open[pool]++
 			change.Apply(blueprint.Field(name, d.order))
 			l.made[name] = true
 		}
@@ -173,15 +174,15 @@
 	c.note("loads", blueprint.LoadsKey, c.keeper.Stamp(blueprint.LoadsKey), err)
 }
 
-// survey gives what is to be loaded, in an order that all holders agree on, the marks of replicas that are gone, and how many may load.
-func (l *loader) survey() (due []loading, gone []string, most int) {
+// survey gives what is to be loaded, in an order that all holders agree on, and the marks of replicas that are gone.
+func (l *loader) survey() (due []loading, gone []string) {
 	c := l.core
 	plan, err := blueprint.FromFields(withoutTexts(c.keeper.Read(blueprint.Key).Fields))
 	models, failed := blueprint.Load[blueprint.Model](c.keeper.Read(blueprint.ModelsKey).Fields)
 	replicas, broken := blueprint.Load[blueprint.Replica](c.keeper.Read(blueprint.ReplicasKey).Fields)
 	loads, torn := blueprint.Load[blueprint.LoadOrder](c.keeper.Read(blueprint.LoadsKey).Fields)
 	if err != nil || failed != nil || broken != nil || torn != nil {
-		return nil, nil, 0
+		return nil, nil
 	}
 	for name := range loads {
 		if r, isThere := replicas[name]; !isThere || r.State == "leaving" && !loads[name].IsDone {
@@ -189,30 +190,34 @@
 			delete(loads, name)
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(plan.Pools)) {
-		pool := plan.Pools[name]
-		size := 0
-		for _, id := range slices.Sorted(maps.Keys(replicas)) {
-			r := replicas[id]
-			if r.Pool != name || r.State == "leaving" {
-				continue
+	sizes := map[string]int{}
+	for _, name := range slices.Sorted(maps.Keys(replicas)) {
+		r := replicas[name]
+		if r.State == "leaving" {
+			continue
+		}
+		sizes[r.Pool]++
+		load, isMarked := loads[name]
+		isOpen := isMarked && !load.IsDone
+		if isOpen {
+			load.Version = max(load.Version, models[load.Model].Version)
+			due = append(due, loading{replica: r, order: load, isOpen: true})
+			continue // its other models in turn
+		}
+		for _, model := range plan.Pools[r.Pool].Models {
+			wanted, has := models[model].Version, max(1, r.Models[model])
+			if isMarked && load.Model == model {
+				has = max(has, load.Version)
 			}
-			size++
-			for _, model := range pool.Models {
-				wanted, has := models[model].Version, max(1, r.Models[model])
-				load, isMarked := loads[id]
-				if isMarked && load.Model == model && load.IsDone {
-					has = max(has, load.Version)
-				}
-				isOpen := isMarked && !load.IsDone && load.Model == model
-				if isOpen && load.Version >= wanted || has >= wanted && isOpen {
-					due = append(due, loading{r, load, true})
-				} else if has < wanted {
-					due = append(due, loading{r, blueprint.LoadOrder{Model: model, Version: wanted}, isOpen})
-				}
+			if has < wanted {
+				due = append(due, loading{replica: r, order: blueprint.LoadOrder{Model: model, Version: wanted}})
+				break
 			}
 		}
-		most += max(1, size/loadPart) + 2*size/loadPart/loadAhead
+	}
+	for i := range due {
+		size := sizes[due[i].replica.Pool]
+		due[i].most = max(1, size/loadPart) + 2*size/loadPart/loadAhead
 	}
 	slices.SortStableFunc(due, func(a, b loading) int {
 		switch {
@@ -223,7 +228,7 @@
 		}
 		return 1
 	})
-	return due, gone, most
+	return due, gone
 }
 
 // attend asks a replica how far it is, and orders it to load once its mark has stood long enough for the proxies to know it. It also says
--- a/daemon/bounds.go
+++ b/daemon/bounds.go
@@ -41,7 +41,7 @@
 // Proxy gives the proxy's options.
 func (b Bounds) Proxy() ProxyOptions {
 	return ProxyOptions{
-		Grace: max(0, b.Grace-2*time.Second), Linger: min(lingerTime, b.Grace/3), OldWeights: max(0, b.Version-versionMargin),
+		Grace: max(0, b.Grace-2*time.Second), Linger: min(lingerTime, b.Grace/3), OldWeights: max(b.Version/2, b.Version-versionMargin),
 		RetrySlack: b.RetrySlack, AgentWait: longWait, Index: b.MemoryMB * indexPerMB, Room: int64(b.MemoryMB) << 20 / roomPart,
 	}
 }
--- a/daemon/kept.go
+++ b/daemon/kept.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"strconv"
 	"strings"
 	"sync"
@@ -238,11 +239,42 @@
 // takeKept passes on what a core has read of the sources that are drawn to it.
 func (a *Agent) takeKept(f *link.Follower, answer link.Answer) {
 	for _, e := range answer.Entries {
-		if !strings.HasPrefix(e.Key, router.KeptPrefix) || len(e.Fields) == 0 {
+		if !strings.HasPrefix(e.Key, router.KeptPrefix) {
 			continue
 		}
-		if cores := a.liveCores(e.Key); len(cores) > 0 && cores[0].Address == f.Options.Address {
+		cores := a.liveCores(e.Key, f)
+		isDrawn := len(cores) > 0 && cores[0].Address == f.Options.Address
+		a.mu.Lock()
+		if _, isKnown := a.readers[e.Key]; isDrawn || !isKnown {
+			a.readers[e.Key] = ""
+			if isDrawn {
+				a.readers[e.Key] = f.Options.Address
+			}
+		}
+		a.mu.Unlock()
+		if isDrawn && len(e.Fields) > 0 {
 			a.source.PutSoon(e.Key, e.Fields, answer.IsImage)
 		}
 	}
 }
+
+// changeReaders takes all that a source keeps from another core, when the reading of it was handed over: what that core told before then
+// was not passed on.
+func (a *Agent) changeReaders() {
+	a.mu.Lock()
+	before := maps.Clone(a.readers)
+	a.mu.Unlock()
+	for key, address := range before {
+		cores := a.liveCores(key)
+		if len(cores) == 0 || cores[0].Address == address {
+			continue
+		}
+		a.mu.Lock()
+		a.readers[key] = cores[0].Address
+		f := a.links[cores[0].Address]
+		a.mu.Unlock()
+		if held := f.Read(key); len(held.Fields) > 0 {
+			a.source.PutSoon(key, held.Fields, true)
+		}
+	}
+}
--- a/router/filters.go
+++ b/router/filters.go
@@ -66,20 +66,25 @@
 	x.View, x.Access = f.r.view.Load(), blueprint.HashKey(x.door.opening.Secret)
 	x.Tenant = x.View.tenantOf(x)
 	switch {
-	case x.Tenant != nil && (x.door.failure == nil || x.Tenant == x.View.public):
+	case x.Tenant != nil && (x.door.failure == nil || x.Tenant == x.View.public && fail.Is(x.door.failure, fail.BadKey)):
 		return onward(ctx, x)
 	case x.door.failure != nil:
 		return x.door.failure
 	}
+	if x.Access == noSecret && x.View.find(x.Request.Host, x.Request.URL.Path, x.Prompt.Model) == nil {
+		return fail.New(fail.NoPath, "no path for %s", x.Request.URL.Path)
+	}
 	return fail.New(fail.BadKey, "unknown or revoked key")
 }
 
+var noSecret = blueprint.HashKey("")
+
 // tenantOf gives the tenant that holds the request's key, or everybody's where none is needed.
 func (v *View) tenantOf(x *Exchange) *tenant {
 	if t := v.access[x.Access]; t != nil {
 		return t
 	}
-	if v.isPublic(x.Request.Host, x.Request.URL.Path, x.Prompt.Model) {
+	if v.isOpen || v.isPublic(x.Request.Host, x.Request.URL.Path, x.Prompt.Model) {
 		return v.public
 	}
 	return nil
@@ -264,7 +269,7 @@
 func (f backlogFilter) Handle(ctx context.Context, x *Exchange, onward func(context.Context, *Exchange) error) error {
 	r := f.r
 	waiting, stop := context.WithCancel(ctx)
-	if x.Path.AimMs > 0 {
+	if x.Path.AimMs > 0 && x.Answer == nil { // a stream that goes on is not given up for having begun long ago
 		waiting, stop = context.WithDeadline(ctx, x.Received.Add(time.Duration(waitPart*float64(x.Deadline.Sub(x.Received)))))
 	}
 	defer stop()
--- a/router/view.go
+++ b/router/view.go
@@ -23,6 +23,7 @@
 	stores   []*replica // of pools that keep prompts for the others
 	models   map[string]blueprint.Model
 	public   *tenant // of those who need no key
+	isOpen   bool    // a fleet declared by numbers without tenants: nobody needs a key
 	hold     blueprint.Hold
 	limits   blueprint.Limits
 	proxies  []string
@@ -171,6 +172,7 @@
 		v.proxies = append(v.proxies, name)
 	}
 	sort.Strings(v.proxies)
+	v.isOpen = plan.IsOpen
 	for name, t := range plan.Tenants {
 		made := &tenant{t, r.names.of("tenant/" + name)}
 		v.tenants[name] = made
