--- /dev/null
+++ b/sim/stand.go
@@ -0,0 +1,80 @@
+package sim
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/link"
+	"asterridge/register"
+	"asterridge/router"
+)
+
+// StandAddress is where callers reach a stand's router.
+const StandAddress = "10.0.1.1:7002"
+
+const standAgent = "10.0.1.1:7001"
+
+// Stand is one router in a bubble, with back ends made by hand and an agent that passes on what it is given.
+type Stand struct {
+	Net    *Network
+	Source *link.Source // what the agent passes on
+	Router *router.Router
+	Client *http.Client
+
+	stop    context.CancelFunc
+	ctx     context.Context
+	running sync.WaitGroup
+	version uint64
+}
+
+// NewStand starts a router; network, agent and fleet of its options are the stand's.
+func NewStand(o router.Options) *Stand {
+	s := &Stand{Net: NewNetwork(time.Millisecond), Source: link.NewSource(link.SourceOptions{Remaining: func() time.Duration { return 10 * time.Second }})}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	o.Fleet, o.Agent, o.Net = fleetName, standAgent, s.Net.Host("10.0.1.1")
+	s.Router = router.New(o)
+	s.Client = &http.Client{Transport: &http.Transport{DialContext: s.Net.Host(CallerIP).DialContext, DisableCompression: true}}
+	mux := http.NewServeMux()
+	mux.Handle("POST /agent/pull", link.Serve(fleetName, s.Source.Pull))
+	s.Serve(standAgent, mux)
+	s.Serve(StandAddress, s.Router.Handler())
+	s.running.Go(func() { s.Router.Run(s.ctx) })
+	return s
+}
+
+// Serve answers at an address until the stand ends.
+func (s *Stand) Serve(address string, handler http.Handler) {
+	listener := must(s.Net.Host(host(address)).Listen(address))
+	server := &http.Server{Handler: handler}
+	s.running.Go(func() { _ = server.Serve(listener) })
+	s.running.Go(func() { <-s.ctx.Done(); _ = server.Close() })
+}
+
+// Put has the agent pass on a settled content of a key, in place of the one before.
+func (s *Stand) Put(key string, fields register.Fields) {
+	s.version++
+	stamp := register.Stamp{Epoch: 1, Version: s.version}
+	s.Source.Put(key, stamp, stamp, fields, true)
+}
+
+// Declare passes on a blueprint with its replicas, and waits until the router has both.
+func (s *Stand) Declare(b *blueprint.Blueprint, replicas ...blueprint.Replica) {
+	listed := register.Fields{}
+	for _, r := range replicas {
+		listed.Apply(blueprint.Field(r.Name, r))
+	}
+	s.Put(blueprint.ReplicasKey, listed)
+	s.Put(blueprint.Key, b.Fields())
+	time.Sleep(time.Second)
+}
+
+// Stop ends everything, so that the bubble can end.
+func (s *Stand) Stop() {
+	s.stop()
+	s.running.Wait()
+	s.Net.End()
+	time.Sleep(time.Minute) // what was let loose comes to its own end
+}
