--- /dev/null
+++ b/blueprint/declaration_test.go
@@ -0,0 +1,258 @@
+package blueprint
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"asterridge/fail"
+	"asterridge/register"
+)
+
+// declared is a register that configurations are declared to.
+type declared struct {
+	fields  register.Fields
+	version uint64
+}
+
+func (r *declared) take(d Declaration) (register.Fields, error) {
+	change, err := Declare(r.fields, r.version, d)
+	if err == nil && len(change) > 0 {
+		r.fields.Apply(change)
+		r.version++
+	}
+	return change, err
+}
+
+// texts lists what was written, one a line.
+func (r *declared) texts() string {
+	var out strings.Builder
+	for _, t := range Texts(r.fields) {
+		fmt.Fprintf(&out, "%s %s %s\n", t.Kind, t.Name, t.Text)
+	}
+	return out.String()
+}
+
+func (r *declared) blueprint(is *is.I) *Blueprint {
+	is.Helper()
+	b, err := FromFields(r.fields)
+	is.NoErr(err)
+	return b
+}
+
+// declaration makes one of tenants, pools and paths by name, each written as its name and the number.
+func declaration(number, basedOn uint64, isWhole bool, names ...string) Declaration {
+	b := Empty()
+	d := Declaration{Number: number, BasedOn: basedOn, IsWhole: isWhole, Digest: fmt.Sprint(number, names), Texts: register.Fields{}}
+	for _, name := range names {
+		kind, rest, _ := strings.Cut(name, "/")
+		switch kind {
+		case "tenant":
+			b.Tenants[rest] = Tenant{Name: rest, Weight: 1, Backlog: 5, Scope: "pool", Keys: []string{rest + "-key"}}
+		case "pool":
+			b.Pools[rest] = Pool{Name: rest, Kind: "web"}
+		case "path":
+			b.Paths[rest] = Path{Name: rest, Address: "/" + rest + "/", Pool: "p", DeadlineMs: 5}
+		case "limits":
+			b.Limits.BodyBytes = int(number)
+		}
+		d.Texts[name] = json.RawMessage(fmt.Sprintf(`{"z": [1.50, {}],"label": %q,  "at":%d}`, rest, number))
+		d.Order = append(d.Order, name)
+	}
+	d.Items = b.Fields()
+	delete(d.Items, "hold")
+	return d
+}
+
+// A whole configuration takes the place of all before it, an amendment changes what it names; texts come back as they were written
+// but for blanks between the words, in the order of the first writing.
+func TestWholeAndAmendingDeclarations(t *testing.T) {
+	is := is.New(t)
+	r := &declared{fields: register.Fields{}}
+	is.Equal(Number(r.fields), uint64(0))
+	_, err := r.take(declaration(3, 0, true, "path/z", "path/a", "pool/p", "limits", "tenant/t", "path/m"))
+	is.NoErr(err)
+	is.Equal(Number(r.fields), uint64(3))
+	is.Equal(r.texts(), `limits  {"z":[1.50,{}],"label":"","at":3}
+path z {"z":[1.50,{}],"label":"z","at":3}
+path a {"z":[1.50,{}],"label":"a","at":3}
+path m {"z":[1.50,{}],"label":"m","at":3}
+pool p {"z":[1.50,{}],"label":"p","at":3}
+tenant t {"z":[1.50,{}],"label":"t","at":3}
+`)
+	amendment := declaration(10, 3, false, "path/b", "path/a", "tenant/u")
+	amendment.Removed = []string{"path/m", "path/never", "tenant/t"}
+	_, err = r.take(amendment)
+	is.NoErr(err)
+	is.Equal(Number(r.fields), uint64(10))
+	is.Equal(r.texts(), `limits  {"z":[1.50,{}],"label":"","at":3}
+path z {"z":[1.50,{}],"label":"z","at":3}
+path a {"z":[1.50,{}],"label":"a","at":10}
+path b {"z":[1.50,{}],"label":"b","at":10}
+pool p {"z":[1.50,{}],"label":"p","at":3}
+tenant u {"z":[1.50,{}],"label":"u","at":10}
+`)
+	b := r.blueprint(is)
+	is.Equal([]int{len(b.Paths), len(b.Pools), len(b.Tenants), b.Limits.BodyBytes}, []int{3, 1, 1, 3})
+	again := declaration(11, 10, false, "path/c", "path/m") // one that was removed comes back behind the others
+	_, err = r.take(again)
+	is.NoErr(err)
+	is.True(strings.Contains(r.texts(), "path z {\"z\":[1.50,{}],\"label\":\"z\",\"at\":3}\npath a {\"z\":[1.50,{}],\"label\":\"a\",\"at\":10}\npath b {\"z\":[1.50,{}],\"label\":\"b\",\"at\":10}\npath c {\"z\":[1.50,{}],\"label\":\"c\",\"at\":11}\npath m"))
+	_, err = r.take(declaration(12, 11, true, "pool/q"))
+	is.NoErr(err)
+	is.Equal(r.texts(), "pool q {\"z\":[1.50,{}],\"label\":\"q\",\"at\":12}\n")
+	b = r.blueprint(is)
+	is.Equal([]int{len(b.Paths), len(b.Pools), len(b.Tenants), b.Limits.BodyBytes}, []int{0, 1, 0, 0})
+}
+
+// Only what was declared travels to the data plane; the rest is the cores' alone.
+func TestTextsAndNumbersAreTheCoresOwn(t *testing.T) {
+	is := is.New(t)
+	r := &declared{fields: register.Fields{}}
+	_, err := r.take(declaration(3, 0, true, "path/a", "pool/p", "limits", "tenant/t"))
+	is.NoErr(err)
+	var open []string
+	for field := range r.fields {
+		if !IsText(field) {
+			open = append(open, field)
+		}
+	}
+	slices.Sort(open)
+	is.Equal(open, []string{"hold", "limits", "path/a", "pool/p", "tenant/t"})
+}
+
+// A change has just what differs; the settings of the waiting rule stay through a whole configuration.
+func TestDeclarationChangesOnlyWhatDiffers(t *testing.T) {
+	is := is.New(t)
+	r := &declared{fields: Field("hold", Hold{BaseMs: 7, CapMs: 8, Jitter: 1, SlowRatio: 3}), version: 4}
+	_, err := r.take(declaration(3, 0, true, "path/a", "pool/p"))
+	is.NoErr(err)
+	is.Equal(r.blueprint(is).Hold.BaseMs, 7)
+	change, err := r.take(declaration(4, 3, false, "path/b"))
+	is.NoErr(err)
+	var fields []string
+	for field := range change {
+		fields = append(fields, field)
+	}
+	slices.Sort(fields)
+	is.Equal(fields, []string{"number", "path/b", "text/path/b"})
+	change, err = r.take(declaration(5, 4, true, "pool/p"))
+	is.NoErr(err)
+	is.Equal(r.blueprint(is).Hold.BaseMs, 7)
+	is.True(register.IsGone(change["path/a"]) && register.IsGone(change["text/path/b"]))
+	_, isAgain := change["pool/p"]
+	is.True(!isAgain) // it has not changed; only its text was written anew
+}
+
+// Of two that are built on the same number one is taken, whichever comes first; numbers only rise, and a gap is no matter.
+func TestOneOfTwoDeclarationsOnTheSameNumberWins(t *testing.T) {
+	is := is.New(t)
+	for _, isWhole := range []bool{true, false} {
+		r := &declared{fields: register.Fields{}}
+		_, err := r.take(declaration(5, 0, true, "pool/p", "path/a"))
+		is.NoErr(err)
+		one, other := declaration(9, 5, isWhole, "pool/p", "path/one"), declaration(8, 5, isWhole, "pool/p", "path/other")
+		_, err = r.take(one)
+		is.NoErr(err)
+		before := r.texts()
+		_, err = r.take(other)
+		is.True(fail.Is(err, fail.Conflict))
+		same := declaration(9, 5, isWhole, "pool/p", "path/other") // the same number, something else
+		_, err = r.take(same)
+		is.True(fail.Is(err, fail.Conflict))
+		for _, number := range []uint64{0, 1, 8, 9} {
+			_, err = r.take(declaration(number, 9, isWhole, "pool/p"))
+			is.True(fail.Is(err, fail.OutOfRange))
+		}
+		for _, base := range []uint64{0, 5, 8, 10} {
+			_, err = r.take(declaration(11, base, isWhole, "pool/p"))
+			is.True(fail.Is(err, fail.Conflict))
+		}
+		is.Equal(r.texts(), before)
+		is.Equal(Number(r.fields), uint64(9))
+		is.Equal(r.version, uint64(2))
+	}
+}
+
+// Just the same one again is accepted without a change, also after others have been, among the last 64 of them.
+func TestSameDeclarationAgainIsNoChange(t *testing.T) {
+	is := is.New(t)
+	r := &declared{fields: register.Fields{}}
+	var all []Declaration
+	for n := range uint64(digestsKept + 1) {
+		d := declaration(n+1, n, n == 0, "pool/p", fmt.Sprint("path/", n))
+		all = append(all, d)
+		_, err := r.take(d)
+		is.NoErr(err)
+	}
+	before := r.texts()
+	for _, d := range all[1:] {
+		change, err := r.take(d)
+		is.NoErr(err)
+		is.Equal(len(change), 0)
+	}
+	_, err := r.take(all[0]) // too long ago
+	is.True(fail.Is(err, fail.Conflict))
+	is.Equal(r.texts(), before)
+	is.Equal(r.version, uint64(digestsKept+1))
+}
+
+// What does not hold together is refused whole, as it would stand after the change.
+func TestDeclarationIsCheckedAsItWouldStand(t *testing.T) {
+	is := is.New(t)
+	r := &declared{fields: register.Fields{}}
+	_, err := r.take(declaration(1, 0, true, "path/a")) // its pool is not there
+	is.True(fail.Is(err, fail.Dangling))
+	is.Equal(len(r.fields), 0)
+	_, err = r.take(declaration(1, 0, true, "pool/p", "path/a", "tenant/t"))
+	is.NoErr(err)
+	before := r.texts()
+	changed := func(change func(*Declaration)) error {
+		d := declaration(2, 1, false)
+		change(&d)
+		_, err := r.take(d)
+		return err
+	}
+	put := func(name string, item any) func(*Declaration) {
+		return func(d *Declaration) { d.Items = Field(name, item) }
+	}
+	is.True(fail.Is(changed(func(d *Declaration) { d.Removed = []string{"pool/p"} }), fail.Dangling))
+	is.True(fail.Is(changed(put("path/b", Path{Name: "b", Address: "/a/", Pool: "p", DeadlineMs: 5})), fail.RepeatField))
+	is.True(fail.Is(changed(put("path/b", Path{Name: "b", Address: "/b/", Pool: "p"})), fail.OutOfRange))
+	is.True(fail.Is(changed(put("path/b", Path{Name: "b", Pool: "p", DeadlineMs: 5})), fail.Missing))
+	is.True(fail.Is(changed(put("path/b", Path{Name: "b", Address: "/b/", DeadlineMs: 5, Targets: []Target{{"p", 0}}})), fail.OutOfRange))
+	is.True(fail.Is(changed(put("path/b", Path{Name: "b", Address: "/b/", DeadlineMs: 5, Targets: []Target{{"p", 2}, {"p", -1}}})), fail.OutOfRange))
+	is.True(fail.Is(changed(put("tenant/u", Tenant{Name: "u", Keys: []string{"u-key", "t-key"}})), fail.RepeatField)) // another tenant's key
+	is.Equal(r.texts(), before)
+	is.Equal(Number(r.fields), uint64(1))
+	is.NoErr(changed(func(d *Declaration) { // the key goes over to another tenant in one step, and one tenant may name a key twice
+		d.Removed = []string{"tenant/t"}
+		d.Items = Field("tenant/u", Tenant{Name: "u", Keys: []string{"t-key", "t-key"}})
+	}))
+}
+
+// A tenant lives from the version that created it: changes and whole configurations keep its life, a new one under an old name has its own.
+func TestTenantsLifeIsKept(t *testing.T) {
+	is := is.New(t)
+	r := &declared{fields: register.Fields{}, version: 6}
+	take := func(d Declaration) {
+		t.Helper()
+		_, err := r.take(d)
+		is.NoErr(err)
+	}
+	born := func(name string) uint64 { return r.blueprint(is).Tenants[name].Born }
+	take(declaration(1, 0, true, "tenant/t"))
+	is.Equal(born("t"), uint64(7))
+	take(declaration(2, 1, true, "tenant/u", "tenant/t"))
+	take(declaration(3, 2, false, "tenant/t"))
+	is.Equal([]uint64{born("t"), born("u")}, []uint64{7, 8})
+	gone := declaration(4, 3, false)
+	gone.Removed = []string{"tenant/t"}
+	take(gone)
+	take(declaration(5, 4, false, "tenant/t"))
+	is.Equal([]uint64{born("t"), born("u")}, []uint64{11, 8})
+}
