--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -33,6 +33,10 @@
 	Index                    int                    // entries of the proxies' index; 0: 200000, less: none
 	Replica                  standin.ReplicaOptions // what all replicas share
 	Names                    []string               // of the replicas: POOL-N; kinds web and store by their pool's name; none: pool-1, pool-2 …
+	Founders                 []string               // the cores' founders and seeds; nil: each core's own address and its neighbours
+	Core                     daemon.CoreOptions
+	Agent                    daemon.AgentOptions
+	PlaceCore                func(i int, p *daemon.Place) // changes where a core stands, before it starts; nil: nothing
 }
 
 // Fleet is cores, agents, proxies and stand-ins in one bubble.
@@ -48,6 +52,7 @@
 	kills      map[string]context.CancelFunc // by host
 	running    sync.WaitGroup
 	Proxies    []*daemon.Proxy
+	Cores      map[int]*daemon.Core // as last started
 	Ledgers    standin.Ledgers
 	Diary      standin.Diary
 	AgentSeeds []string // of agents started from now on
@@ -74,7 +79,7 @@
 // NewFleet makes the network and the disks, and starts all daemons and stand-ins.
 func NewFleet(o FleetOptions) *Fleet {
 	f := &Fleet{Options: o, Net: NewNetwork(time.Millisecond), Replicas: map[string]*standin.Replica{}, kills: map[string]context.CancelFunc{},
-		Proxies: make([]*daemon.Proxy, o.Proxies), AgentDisks: map[int]*Disk{}, gone: map[int]bool{}, dead: map[string]bool{}, skews: map[string]time.Duration{}, AgentSeeds: []string{At(CoreIP(0)), At(CoreIP(1)), At(CoreIP(2))}}
+		Proxies: make([]*daemon.Proxy, o.Proxies), AgentDisks: map[int]*Disk{}, Cores: map[int]*daemon.Core{}, gone: map[int]bool{}, dead: map[string]bool{}, skews: map[string]time.Duration{}, AgentSeeds: []string{At(CoreIP(0)), At(CoreIP(1)), At(CoreIP(2))}}
 	outside := f.Net.Host(CallerIP)
 	f.Wire = link.NewWire(fleetName, outside)
 	f.Client = &http.Client{Transport: &http.Transport{DialContext: outside.DialContext, MaxIdleConnsPerHost: 256}}
@@ -154,6 +159,16 @@
 		}
 		p.Seeds = append(p.Seeds, At(CoreIP(j)))
 	}
+	if f.Options.Founders != nil {
+		p.Founders, p.Seeds = f.Options.Founders, f.Options.Founders
+	}
+	if f.Options.PlaceCore != nil {
+		f.Options.PlaceCore(i, &p)
+	}
+	o := f.Options.Core
+	if o.ClaimAge == 0 {
+		o.ClaimAge = f.Options.ClaimAge
+	}
 	f.mu.Lock()
 	if i == len(f.Disks) { // a machine that was not there before
 		f.Disks = append(f.Disks, NewDisk())
@@ -161,7 +176,7 @@
 	f.mu.Unlock()
 	d := f.Disks[i].Open()
 	f.launch(CoreIP(i), func(ctx context.Context) {
-		core, err := daemon.NewCore(p, d, daemon.CoreOptions{ClaimAge: f.Options.ClaimAge}) // waits while the disk stalls
+		core, err := daemon.NewCore(p, d, o) // waits while the disk stalls
 		if err != nil {
 			f.Options.Log.Error().Str("event", "core_not_started").Err(err).Msg("")
 			f.mu.Lock()
@@ -176,6 +191,9 @@
 		if err != nil {
 			return // another start was quicker
 		}
+		f.mu.Lock()
+		f.Cores[i] = core
+		f.mu.Unlock()
 		_ = core.Serve(ctx, listener)
 	})
 }
@@ -192,7 +210,7 @@
 	}
 	kept := f.AgentDisks[i].Open()
 	f.mu.Unlock()
-	agent := daemon.NewAgent(p, kept, daemon.AgentOptions{})
+	agent := daemon.NewAgent(p, kept, f.Options.Agent)
 	local, outer := must(p.Net.Listen(ip+":7001")), must(p.Net.Listen(p.Address))
 	q := p
 	q.Name, q.Log = fmt.Sprintf("proxy-%d", i+1), f.Options.Log.With().Str("daemon", fmt.Sprintf("proxy-%d", i+1)).Logger()
