--- /dev/null
+++ b/sim/backend_test.go
@@ -0,0 +1,275 @@
+package sim
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/daemon"
+	"asterridge/link"
+	"asterridge/register"
+	"asterridge/router"
+)
+
+// backends are a platform, its replicas and its stores, as the cores speak with them.
+type backends struct {
+	mu       sync.Mutex
+	replicas map[string]*backend // by name
+	born     int                 // replicas that there ever were: no name is given twice
+	loadTime time.Duration
+	orders   []ordered
+	onLoad   func(o ordered) // called before the order is taken
+	loading  map[string]int  // by pool: the most that were loading at once
+	sources  map[string]*source
+}
+
+// backend is one replica.
+type backend struct {
+	blueprint.Replica
+	fence    uint64
+	until    time.Time // loading until then
+	next     blueprint.LoadOrder
+	isSilent bool
+	shown    map[string]uint64 // the versions that the platform's list has: it lags
+	showAt   time.Time
+}
+
+// ordered is an order that came to a replica.
+type ordered struct {
+	daemon.Order
+	core    int
+	replica string
+	at      time.Time
+	isTaken bool
+}
+
+// source keeps parts of prompts, and tells the news of one life.
+type source struct {
+	place     daemon.KeptPlace
+	kept      map[string]int
+	news      chan struct{} // closed at the next change
+	isGone    bool
+	readers   []int // cores that read now
+	most      int
+	readTimes map[int]int // by core
+}
+
+func newBackends() *backends {
+	return &backends{replicas: map[string]*backend{}, loadTime: 2 * time.Second, loading: map[string]int{}, sources: map[string]*source{}}
+}
+
+// add has replicas of a pool, all with version 1 of its models.
+func (b *backends) add(pool string, count int, models ...string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for range count {
+		b.born++
+		name := fmt.Sprintf("%s-%02d", pool, b.born)
+		r := blueprint.Replica{Name: name, Address: name + ":80", Pool: pool, Zone: "zone-1", State: "present", Limit: 8, Models: map[string]uint64{}}
+		for _, model := range models {
+			r.Models[model] = 1
+		}
+		b.replicas[name] = &backend{Replica: r}
+	}
+}
+
+// end takes in what has been loaded by now; b.mu is held.
+func (r *backend) end() {
+	if r.next.Version > 0 && !time.Now().Before(r.until) {
+		r.Models[r.next.Model] = r.next.Version
+		r.next = blueprint.LoadOrder{}
+		r.showAt = r.until.Add(listLag)
+	}
+	if !time.Now().Before(r.showAt) {
+		r.shown = maps.Clone(r.Models)
+	}
+}
+
+const listLag = 3 * time.Second
+
+// has says whether all replicas but some have a version.
+func (b *backends) has(model string, version uint64, but ...string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, r := range b.replicas {
+		if r.end(); r.Models[model] != version && r.Models[model] != 0 && !slices.Contains(but, name) {
+			return false
+		}
+	}
+	return true
+}
+
+// change changes a replica.
+func (b *backends) change(name string, do func(r *backend)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	do(b.replicas[name])
+}
+
+// view is how one core speaks with them.
+type view struct {
+	*backends
+	core int
+}
+
+func (v view) List(context.Context) ([]blueprint.Replica, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var all []blueprint.Replica
+	for _, name := range slices.Sorted(maps.Keys(v.replicas)) {
+		r := v.replicas[name]
+		r.end()
+		told := r.Replica
+		told.Models = maps.Clone(r.shown)
+		all = append(all, told)
+	}
+	return all, nil
+}
+
+func (v view) Versions(ctx context.Context, r blueprint.Replica) (map[string]uint64, bool, error) {
+	v.mu.Lock()
+	own := v.replicas[r.Name]
+	isSilent := own == nil || own.isSilent
+	v.mu.Unlock()
+	if isSilent {
+		<-ctx.Done()
+		return nil, false, ctx.Err()
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	own.end()
+	return maps.Clone(own.Models), own.next.Version > 0, nil
+}
+
+func (v view) Load(ctx context.Context, r blueprint.Replica, o daemon.Order) error {
+	told := ordered{Order: o, core: v.core, replica: r.Name, at: time.Now()}
+	if v.onLoad != nil {
+		v.onLoad(told)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	own := v.replicas[r.Name]
+	if own == nil || own.isSilent || ctx.Err() != nil {
+		return errors.New("no answer")
+	}
+	own.end()
+	told.isTaken = own.next.Version == 0 && o.Fence >= own.fence
+	v.orders = append(v.orders, told)
+	if !told.isTaken {
+		return errors.New("refused")
+	}
+	own.fence, own.next, own.until = o.Fence, o.LoadOrder, time.Now().Add(v.loadTime)
+	now := 0
+	for _, other := range v.replicas {
+		if other.end(); other.Pool == own.Pool && other.next.Version > 0 {
+			now++
+		}
+	}
+	v.loading[own.Pool] = max(v.loading[own.Pool], now)
+	return nil
+}
+
+func (v view) Kept(ctx context.Context, address string, from daemon.KeptPlace, wait time.Duration) (daemon.KeptNews, error) {
+	v.mu.Lock()
+	s := v.sources[address]
+	if s == nil || s.isGone {
+		v.mu.Unlock()
+		return daemon.KeptNews{}, errors.New("gone")
+	}
+	s.readers = append(s.readers, v.core)
+	s.readTimes[v.core]++
+	s.most = max(s.most, len(s.readers))
+	if news := s.news; from == s.place {
+		v.mu.Unlock()
+		short, stop := context.WithTimeout(ctx, wait)
+		select {
+		case <-news:
+		case <-short.Done():
+		}
+		stop()
+		v.mu.Lock()
+	}
+	defer v.mu.Unlock()
+	s.readers = slices.Delete(s.readers, slices.Index(s.readers, v.core), slices.Index(s.readers, v.core)+1)
+	if ctx.Err() != nil || s.isGone {
+		return daemon.KeptNews{}, errors.New("gone meanwhile")
+	}
+	return daemon.KeptNews{Place: s.place, IsImage: from == daemon.KeptPlace{}, Kept: maps.Clone(s.kept)}, nil
+}
+
+// keep changes what a source keeps; nil: it is gone. An end of another epoch has started anew.
+func (b *backends) keep(address string, epoch uint64, kept map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.sources[address]
+	if s == nil {
+		s = &source{news: make(chan struct{}), readTimes: map[int]int{}}
+		b.sources[address] = s
+	}
+	s.isGone, s.kept, s.place = kept == nil, kept, daemon.KeptPlace{Epoch: epoch, Next: s.place.Next + 1}
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// loaded gives options of three cores with such back ends, and without proxies.
+func (b *backends) options(seed uint64) FleetOptions {
+	o := numberedOptions(seed, 3)
+	o.Proxies = 0
+	o.Backend = func(i int) daemon.Backend { return view{b, i} }
+	return o
+}
+
+// pools is a whole configuration of these pools.
+func pools(number uint64, all ...blueprint.Pool) blueprint.Declaration {
+	d := numbered(number, number-1, true)
+	delete(d.Items, "pool/web")
+	for _, p := range all {
+		d.Items.Apply(blueprint.Field("pool/"+p.Name, p))
+		d.Texts["pool/"+p.Name] = json.RawMessage(`{}`)
+		d.Order = append(d.Order, "pool/"+p.Name)
+	}
+	return d
+}
+
+// follow gives a reader of what a core or an agent passes on, until the fleet ends.
+func (f *Fleet) follow(ctx context.Context, address, path string) *link.Follower {
+	follower := link.NewFollower(link.FollowerOptions{Wire: f.Wire, Address: address, Path: path, Wait: 100 * time.Millisecond,
+		Ask: func() link.Ask { return link.Ask{Name: "watcher at " + address, Role: "watcher"} }})
+	go follower.Run(ctx)
+	return follower
+}
+
+// marks reads the open marks of replicas that are to load.
+func marks(f *link.Follower) map[string]blueprint.LoadOrder {
+	all, _ := blueprint.Load[blueprint.LoadOrder](f.Read(blueprint.LoadsKey).Fields) // none that cannot be read
+	maps.DeleteFunc(all, func(_ string, o blueprint.LoadOrder) bool { return o.IsDone })
+	return all
+}
+
+// keptAt reads what an agent passes on of a source, and whether the source answers.
+func keptAt(f *link.Follower, source string) (kept map[string]int, isUp bool) {
+	kept = map[string]int{}
+	for field, raw := range f.Read(router.KeptPrefix + source).Fields {
+		if register.IsGone(raw) {
+			continue
+		}
+		if field == router.KeptUp {
+			isUp = true
+		} else if n := 0; json.Unmarshal(raw, &n) == nil {
+			kept[field] = n
+		}
+	}
+	return kept, isUp
+}
+
+// byTime sorts orders.
+func byTime(all []ordered) []ordered {
+	return slices.SortedStableFunc(slices.Values(all), func(a, b ordered) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
+}
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -37,6 +37,7 @@
 	Core                     daemon.CoreOptions
 	Agent                    daemon.AgentOptions
 	PlaceCore                func(i int, p *daemon.Place) // changes where a core stands, before it starts; nil: nothing
+	Backend                  func(i int) daemon.Backend   // how a core speaks with a platform; nil: not at all
 }
 
 // Fleet is cores, agents, proxies and stand-ins in one bubble.
@@ -166,6 +167,9 @@
 		f.Options.PlaceCore(i, &p)
 	}
 	o := f.Options.Core
+	if f.Options.Backend != nil {
+		o.Backend = f.Options.Backend(i)
+	}
 	if o.ClaimAge == 0 {
 		o.ClaimAge = f.Options.ClaimAge
 	}
--- /dev/null
+++ b/sim/loading_red_test.go
@@ -0,0 +1,75 @@
+package sim
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"asterridge/blueprint"
+	"asterridge/link"
+)
+
+// Of each pool a part alone is kept away from work, however many other pools there are.
+func TestShareOfEachPoolIsItsOwn(t *testing.T) {
+	t.Parallel()
+	b := newBackends()
+	b.add("a", 5, "m")
+	b.add("b", 30, "n")
+	rollout(t, 226, b, pools(1, blueprint.Pool{Name: "a", Kind: "model", Models: []string{"m"}}, blueprint.Pool{Name: "b", Kind: "model", Models: []string{"n"}}),
+		func(is *is.I, f *Fleet, watcher *link.Follower) {
+			most := 0
+			stop := watch(func() {
+				now := 0
+				for name := range marks(watcher) {
+					if strings.HasPrefix(name, "a-") {
+						now++
+					}
+				}
+				most = max(most, now)
+			})
+			f.nameVersion(0, "m", 2)
+			f.Until(time.Minute, "all have it", func() bool { return b.has("m", 2) })
+			stop()
+			is.True(most <= 2) // a fifth of five, and less than one more that runs dry
+		})
+}
+
+// Where nothing is running, a marked replica loads at once: a fifth of the pool then loads at a time, and the others wait.
+func TestAFifthOfAPoolLoadsAtATime(t *testing.T) {
+	t.Parallel()
+	b := newBackends()
+	b.add("pool", 15, "m")
+	rollout(t, 228, b, pools(1, oneModel), func(is *is.I, f *Fleet, _ *link.Follower) {
+		f.nameVersion(0, "m", 2)
+		f.Until(time.Minute, "all have it", func() bool { return b.has("m", 2) })
+		is.Equal(b.loading["pool"], 3)
+	})
+}
+
+// A replica with two models loads one after the other: an open mark is not written over by the other model's.
+func TestTwoModelsOfOneReplicaLoadInTurn(t *testing.T) {
+	t.Parallel()
+	b := newBackends()
+	b.add("pool", 10, "m", "n")
+	rollout(t, 227, b, pools(1, blueprint.Pool{Name: "pool", Kind: "model", Models: []string{"m", "n"}}), func(is *is.I, f *Fleet, watcher *link.Follower) {
+		f.nameVersion(0, "m", 2)
+		f.nameVersion(0, "n", 2)
+		changes, before := 0, map[string]blueprint.LoadOrder{}
+		stop := watch(func() {
+			now := marks(watcher)
+			for name, o := range now {
+				if was, isThere := before[name]; isThere && was != o {
+					changes++
+				}
+			}
+			before = now
+		})
+		f.Until(time.Minute, "all have both", func() bool { return b.has("m", 2) && b.has("n", 2) })
+		f.Until(10*time.Second, "no mark is left", func() bool { return len(marks(watcher)) == 0 })
+		stop()
+		t.Logf("%d orders to 10 replicas", len(b.orders))
+		is.Equal(changes, 0)
+	})
+}
--- /dev/null
+++ b/sim/loading_test.go
@@ -0,0 +1,231 @@
+package sim
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"asterridge/blueprint"
+	"asterridge/daemon"
+	"asterridge/link"
+)
+
+// loadLease is longer than a term, so that its keeping shows.
+const loadLease = 20 * time.Second
+
+// rollout has a fleet with back ends, founded and declared, and a watcher of the marks at each core.
+func rollout(t *testing.T, seed uint64, b *backends, d blueprint.Declaration, play func(is *is.I, f *Fleet, watcher *link.Follower)) {
+	t.Helper()
+	o := b.options(seed)
+	o.Core.Lease = loadLease
+	inNumbered(t, o, func(is *is.I, f *Fleet) {
+		f.untilCouncil(10*time.Second, "core-1 core-2 core-3")
+		f.declare(0, d)
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		watcher := f.follow(ctx, At(CoreIP(2)), "/core/pull")
+		time.Sleep(3 * time.Second) // the replicas are listed
+		play(is, f, watcher)
+	})
+}
+
+// name has the fleet take a model's version.
+func (f *Fleet) nameVersion(core int, model string, version uint64) {
+	f.Until(5*time.Second, "the version is named", func() bool {
+		return f.core(core).Name(context.Background(), daemon.ModelOrder{Model: model, Version: version}) == nil
+	})
+}
+
+// watch looks at the marks again and again until the test ends; the function that it gives ends it.
+func watch(look func()) (stop func()) {
+	ctx, end := context.WithCancel(context.Background())
+	var watching sync.WaitGroup
+	watching.Go(func() {
+		for ctx.Err() == nil {
+			look()
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	return func() { end(); watching.Wait() }
+}
+
+var oneModel = blueprint.Pool{Name: "pool", Kind: "model", Models: []string{"m"}}
+
+// A named version comes to all replicas. Each mark is known for a while before its order is given, a third of the pool at the most is
+// marked at a time, every order bears a holder and a fence, and marks end as done.
+func TestNamedVersionIsLoadedShareByShare(t *testing.T) {
+	t.Parallel()
+	b := newBackends()
+	b.add("pool", 15, "m")
+	rollout(t, 220, b, pools(1, oneModel), func(is *is.I, f *Fleet, watcher *link.Follower) {
+		since, most, opened, before := map[string]time.Time{}, 0, 0, map[string]blueprint.LoadOrder{}
+		var mu sync.Mutex
+		stop := watch(func() {
+			mu.Lock()
+			defer mu.Unlock()
+			open := marks(watcher)
+			most = max(most, len(open))
+			for name, o := range open {
+				if since[name].IsZero() {
+					since[name] = time.Now()
+				}
+				is.Equal(o, blueprint.LoadOrder{Model: "m", Version: 2})
+				if _, wasOpen := before[name]; !wasOpen {
+					opened++
+				}
+			}
+			before = open
+		})
+		b.onLoad = func(o ordered) {
+			mu.Lock()
+			defer mu.Unlock()
+			is.True(!since[o.replica].IsZero() && time.Since(since[o.replica]) >= 200*time.Millisecond)
+			is.True(o.Fence > 0 && o.Holder != "")
+		}
+		f.nameVersion(1, "m", 2)
+		took := f.Until(time.Minute, "all have it", func() bool { return b.has("m", 2) })
+		f.Until(5*time.Second, "no mark is open", func() bool { return len(marks(watcher)) == 0 })
+		time.Sleep(2 * listLag)
+		stop()
+		is.Equal(opened, 15) // though the list tells late what they have
+		t.Logf("%v; marked at once: %d, loading at once: %d", took, most, b.loading["pool"])
+		is.Equal(most, 5)
+		is.Equal(len(b.orders), 15) // nobody was told twice
+		for _, o := range b.orders {
+			is.True(o.isTaken)
+			is.Equal(o.core, b.orders[0].core)
+			is.Equal(o.Holder, b.orders[0].Holder)
+		}
+		time.Sleep(20 * time.Second)
+		is.Equal(len(b.orders), 15)
+		f.nameVersion(0, "m", 2) // named already
+		f.nameVersion(0, "m", 1)
+		time.Sleep(5 * time.Second)
+		named, err := blueprint.Load[blueprint.Model](watcher.Read(blueprint.ModelsKey).Fields)
+		is.NoErr(err)
+		is.Equal(named["m"].Version, uint64(2))
+		is.Equal(len(b.orders), 15)
+	})
+}
+
+// The holder is killed in the midst: the next one goes on from the marks. It gives its first order a lease after the last one of the
+// holder before, under a higher fence; on no replica does a fence ever fall.
+func TestNextHolderGoesOnAndKeepsTheLease(t *testing.T) {
+	t.Parallel()
+	b := newBackends()
+	b.add("pool", 15, "m")
+	rollout(t, 221, b, pools(1, oneModel), func(is *is.I, f *Fleet, watcher *link.Follower) {
+		f.nameVersion(0, "m", 2)
+		f.Until(20*time.Second, "some are ordered", func() bool { return len(b.orders) >= 4 })
+		first := b.orders[0].core
+		f.Kill(CoreIP(first))
+		f.Until(time.Minute, "all have it", func() bool { return b.has("m", 2) })
+		checkOrders(is, b, loadLease)
+		is.True(b.orders[len(b.orders)-1].core != first)
+		f.StartCore(first)
+		time.Sleep(5 * time.Second)
+		f.nameVersion(first, "m", 3)
+		f.Until(time.Minute, "all have the next", func() bool { return b.has("m", 3) })
+		checkOrders(is, b, loadLease)
+	})
+}
+
+// checkOrders looks at all orders: fences rise with the holders, and each holder begins a lease after the last word of the one before.
+func checkOrders(is *is.I, b *backends, lease time.Duration) {
+	is.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := byTime(b.orders)
+	for i, o := range all[1:] {
+		before := all[i]
+		is.True(o.Fence >= before.Fence)
+		if o.Holder != before.Holder {
+			is.True(o.Fence > before.Fence)
+			is.True(o.at.Sub(before.at) >= lease)
+		}
+	}
+}
+
+// The holder is cut off from the other cores, and not from the replicas: it gives up in time, so that no two ever give orders at once.
+func TestHolderThatIsCutOffGivesWay(t *testing.T) {
+	t.Parallel()
+	b := newBackends()
+	b.add("pool", 15, "m")
+	rollout(t, 222, b, pools(1, oneModel), func(is *is.I, f *Fleet, _ *link.Follower) {
+		f.nameVersion(0, "m", 2)
+		f.Until(20*time.Second, "some are ordered", func() bool { return len(b.orders) >= 2 })
+		first := b.orders[0].core
+		var others []string
+		for i := range 3 {
+			if i != first {
+				others = append(others, CoreIP(i))
+			}
+		}
+		f.Net.Part([]string{CoreIP(first)}, others, true)
+		f.Net.Part(others, []string{CoreIP(first)}, true)
+		f.Until(time.Minute, "all have it", func() bool { return b.has("m", 2) })
+		checkOrders(is, b, loadLease)
+		is.True(b.orders[len(b.orders)-1].core != first)
+		f.Net.Part([]string{CoreIP(first)}, others, false)
+		f.Net.Part(others, []string{CoreIP(first)}, false)
+	})
+}
+
+// A replica that does not answer holds up nobody: its mark is taken back, so that it may serve, and it is looked at again later.
+func TestSilentReplicaIsLeftForLater(t *testing.T) {
+	t.Parallel()
+	b := newBackends()
+	b.add("pool", 6, "m")
+	rollout(t, 223, b, pools(1, oneModel), func(is *is.I, f *Fleet, watcher *link.Follower) {
+		b.change("pool-01", func(r *backend) { r.isSilent = true })
+		f.nameVersion(0, "m", 2)
+		f.Until(time.Minute, "the others have it", func() bool { return b.has("m", 2, "pool-01") })
+		isMarked, isFree := false, false
+		stop := watch(func() {
+			_, isThere := marks(watcher)["pool-01"]
+			isMarked, isFree = isMarked || isThere, isFree || !isThere
+		})
+		time.Sleep(20 * time.Second)
+		stop()
+		is.True(isMarked && isFree) // tried again, and let go again
+		b.change("pool-01", func(r *backend) { r.isSilent = false })
+		f.Until(20*time.Second, "it has it too", func() bool { return b.has("m", 2) })
+	})
+}
+
+// A replica that goes while it is marked takes its mark with it; one that comes with an old version is loaded.
+func TestReplicasThatGoAndComeDuringLoading(t *testing.T) {
+	t.Parallel()
+	b := newBackends()
+	b.add("pool", 5, "m")
+	rollout(t, 224, b, pools(1, oneModel), func(is *is.I, f *Fleet, watcher *link.Follower) {
+		b.change("pool-01", func(r *backend) { r.isSilent = true })
+		f.nameVersion(0, "m", 2)
+		f.Until(10*time.Second, "it is marked", func() bool { _, isThere := marks(watcher)["pool-01"]; return isThere })
+		b.mu.Lock()
+		delete(b.replicas, "pool-01")
+		b.mu.Unlock()
+		b.change("pool-02", func(r *backend) { r.State = "leaving" })
+		f.Until(time.Minute, "the others have it", func() bool { return b.has("m", 2, "pool-02") })
+		f.Until(10*time.Second, "no mark is left", func() bool { return len(marks(watcher)) == 0 })
+		b.add("pool", 2, "m")
+		f.Until(time.Minute, "the new ones have it", func() bool { return b.has("m", 2, "pool-02") })
+	})
+}
+
+// A newer version is named while the one before is being loaded: all end with the newer one.
+func TestNewerVersionNamedMeanwhile(t *testing.T) {
+	t.Parallel()
+	b := newBackends()
+	b.add("pool", 10, "m")
+	rollout(t, 225, b, pools(1, oneModel), func(is *is.I, f *Fleet, watcher *link.Follower) {
+		f.nameVersion(0, "m", 2)
+		f.Until(20*time.Second, "some are ordered", func() bool { return len(b.orders) >= 2 })
+		f.nameVersion(1, "m", 5)
+		f.Until(time.Minute, "all have the newer", func() bool { return b.has("m", 5) })
+		f.Until(10*time.Second, "no mark is left", func() bool { return len(marks(watcher)) == 0 })
+	})
+}
