--- a/sim/backend_test.go
+++ b/sim/backend_test.go
@@ -54,6 +54,8 @@
 type source struct {
 	place     daemon.KeptPlace
 	kept      map[string]int
+	before    daemon.KeptPlace // the place before the last change, and what that changed
+	changed   map[string]int
 	news      chan struct{} // closed at the next change
 	isGone    bool
 	readers   []int // cores that read now
@@ -72,7 +74,7 @@
 	for range count {
 		b.born++
 		name := fmt.Sprintf("%s-%02d", pool, b.born)
-		r := blueprint.Replica{Name: name, Address: name + ":80", Pool: pool, Zone: "zone-1", State: "present", Limit: 8, Models: map[string]uint64{}}
+		r := blueprint.Replica{Name: name, Address: fmt.Sprintf("10.0.2.%d:80", b.born), Pool: pool, Zone: "zone-1", State: "present", Limit: 8, Models: map[string]uint64{}}
 		for _, model := range models {
 			r.Models[model] = 1
 		}
@@ -201,10 +203,16 @@
 	if ctx.Err() != nil || s.isGone {
 		return daemon.KeptNews{}, errors.New("gone meanwhile")
 	}
-	return daemon.KeptNews{Place: s.place, IsImage: from == daemon.KeptPlace{}, Kept: maps.Clone(s.kept)}, nil
+	switch from {
+	case s.place:
+		return daemon.KeptNews{Place: s.place}, nil
+	case s.before:
+		return daemon.KeptNews{Place: s.place, Kept: maps.Clone(s.changed)}, nil
+	}
+	return daemon.KeptNews{Place: s.place, IsImage: true, Kept: maps.Clone(s.kept)}, nil
 }
 
-// keep changes what a source keeps; nil: it is gone. An end of another epoch has started anew.
+// keep changes what a source keeps. In another epoch it has started anew.
 func (b *backends) keep(address string, epoch uint64, kept map[string]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -213,12 +221,30 @@
 		s = &source{news: make(chan struct{}), readTimes: map[int]int{}}
 		b.sources[address] = s
 	}
-	s.isGone, s.kept, s.place = kept == nil, kept, daemon.KeptPlace{Epoch: epoch, Next: s.place.Next + 1}
+	s.before, s.changed = s.place, map[string]int{}
+	for part := range s.kept {
+		s.changed[part] = 0
+	}
+	maps.Copy(s.changed, kept)
+	if s.place.Epoch != epoch {
+		s.before = daemon.KeptPlace{Next: 1 << 60} // a place that nobody has
+	}
+	s.kept, s.place = kept, daemon.KeptPlace{Epoch: epoch, Next: s.place.Next + 1}
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// silence has a source fail from now on, or answer again.
+func (b *backends) silence(address string, isGone bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.sources[address]
+	s.isGone = isGone
 	close(s.news)
 	s.news = make(chan struct{})
 }
 
-// loaded gives options of three cores with such back ends, and without proxies.
+// options are of three cores with such back ends, and without proxies.
 func (b *backends) options(seed uint64) FleetOptions {
 	o := numberedOptions(seed, 3)
 	o.Proxies = 0
--- /dev/null
+++ b/sim/kept_test.go
@@ -0,0 +1,197 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"asterridge/blueprint"
+	"asterridge/link"
+	"asterridge/router"
+)
+
+const storeAt = "10.0.3.1:9"
+
+// keeping has a fleet with three replicas and a store whose news are read, and a watcher at each machine's agent.
+func keeping(t *testing.T, seed uint64, play func(is *is.I, f *Fleet, b *backends, agents []*link.Follower)) {
+	t.Helper()
+	b := newBackends()
+	b.add("pool", 3, "m")
+	o := b.options(seed)
+	o.Proxies = 2
+	inNumbered(t, o, func(is *is.I, f *Fleet) {
+		f.untilCouncil(10*time.Second, "core-1 core-2 core-3")
+		for name, r := range b.replicas {
+			b.keep(r.Address, 7, map[string]int{"d/" + name: 100})
+		}
+		b.keep(storeAt, 7, map[string]int{"d/s": 100})
+		f.declare(0, pools(1, blueprint.Pool{Name: "pool", Kind: "model", Models: []string{"m"}, MaxReaders: 3},
+			blueprint.Pool{Name: "st", Kind: "store", Address: storeAt, MaxReaders: 3}))
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		var agents []*link.Follower
+		for i := range f.Proxies {
+			agents = append(agents, f.follow(ctx, ProxyIP(i)+":7001", "/agent/pull"))
+		}
+		play(is, f, b, agents)
+	})
+}
+
+// untilKept waits until all agents pass on just this of a source.
+func untilKept(f *Fleet, agents []*link.Follower, limit time.Duration, source string, want map[string]int) time.Duration {
+	last := ""
+	defer func() {
+		if failure := recover(); failure != nil {
+			panic(fmt.Sprintf("%v; last: %s", failure, last))
+		}
+	}()
+	return f.Until(limit, fmt.Sprint(source, " keeps ", want), func() bool {
+		for _, agent := range agents {
+			kept, isUp := keptAt(agent, source)
+			if last = fmt.Sprint(kept, isUp); isUp != (want != nil) || !maps.Equal(kept, want) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+var theStore = router.StoreName("st")
+
+// reader gives the one core that has read a source since; more, or none, is an error.
+func (b *backends) reader(address string, since map[int]int) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reader, err := -1, error(nil)
+	for core, times := range b.sources[address].readTimes {
+		if times > since[core] && reader >= 0 {
+			err = fmt.Errorf("cores %d and %d read %s", reader+1, core+1, address)
+		}
+		if times > since[core] {
+			reader = core
+		}
+	}
+	if reader < 0 {
+		err = fmt.Errorf("nobody reads %s", address)
+	}
+	return reader, err
+}
+
+func (b *backends) readTimes(address string) map[int]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.sources[address].readTimes)
+}
+
+// Each source has one reader, whose news every agent passes on: what is there, what comes and goes, and all anew after a restart.
+func TestOneReaderForEachSource(t *testing.T) {
+	t.Parallel()
+	keeping(t, 230, func(is *is.I, f *Fleet, b *backends, agents []*link.Follower) {
+		untilKept(f, agents, 5*time.Second, theStore, map[string]int{"d/s": 100})
+		for name := range b.replicas {
+			untilKept(f, agents, 5*time.Second, name, map[string]int{"d/" + name: 100})
+		}
+		before := map[string]map[int]int{}
+		for address := range b.sources {
+			before[address] = b.readTimes(address)
+		}
+		took := time.Duration(0)
+		for n := range 5 {
+			b.keep(storeAt, 7, map[string]int{"d/t": 50 + n, "e/t": 8})
+			took = max(took, untilKept(f, agents, 2*time.Second, theStore, map[string]int{"d/t": 50 + n, "e/t": 8}))
+		}
+		t.Logf("news take %v", took)
+		is.True(took < time.Second)
+		time.Sleep(10 * time.Second)
+		for address, s := range b.sources {
+			_, err := b.reader(address, before[address])
+			is.NoErr(err)
+			is.Equal(s.most, 1)
+		}
+	})
+}
+
+// The core that reads a source is killed: another one takes over and reads all anew; when the first returns, there is one reader again.
+func TestReadingIsHandedOver(t *testing.T) {
+	t.Parallel()
+	keeping(t, 231, func(is *is.I, f *Fleet, b *backends, agents []*link.Follower) {
+		untilKept(f, agents, 5*time.Second, theStore, map[string]int{"d/s": 100})
+		first, err := b.reader(storeAt, nil)
+		is.NoErr(err)
+		f.Kill(CoreIP(first))
+		time.Sleep(200 * time.Millisecond)
+		before := b.readTimes(storeAt)
+		b.keep(storeAt, 7, map[string]int{"d/s": 40, "d/new": 3})
+		took := untilKept(f, agents, 6*time.Second, theStore, map[string]int{"d/s": 40, "d/new": 3})
+		t.Logf("handed over within %v", took)
+		second, err := b.reader(storeAt, before)
+		is.NoErr(err)
+		is.True(second != first)
+		f.StartCore(first)
+		time.Sleep(10 * time.Second)
+		before = b.readTimes(storeAt)
+		b.keep(storeAt, 7, map[string]int{"d/new": 4})
+		time.Sleep(10 * time.Second)
+		third, err := b.reader(storeAt, before)
+		is.NoErr(err)
+		is.Equal(third, first) // the draw is the same as before
+		for _, agent := range agents {
+			kept, isUp := keptAt(agent, theStore)
+			is.True(isUp)
+			is.Equal(kept["d/new"], 4)
+		}
+	})
+}
+
+// A store that is gone is passed on as gone, so that nobody fetches from it or fills it; when it is back, it is up again with what it
+// keeps now, whether it was only out of reach or has started anew. One failure alone is no end.
+func TestStoreGoesAndComesBack(t *testing.T) {
+	t.Parallel()
+	keeping(t, 232, func(is *is.I, f *Fleet, b *backends, agents []*link.Follower) {
+		untilKept(f, agents, 5*time.Second, theStore, map[string]int{"d/s": 100})
+		b.silence(storeAt, true)
+		took := untilKept(f, agents, 4*time.Second, theStore, nil)
+		t.Logf("gone within %v", took)
+		time.Sleep(10 * time.Second)
+		b.silence(storeAt, false) // it was only out of reach
+		untilKept(f, agents, 4*time.Second, theStore, map[string]int{"d/s": 100})
+		b.keep(storeAt, 8, map[string]int{"d/t": 6}) // it has started anew in between two calls: the rest is gone
+		untilKept(f, agents, 4*time.Second, theStore, map[string]int{"d/t": 6})
+		b.keep(storeAt, 8, map[string]int{})
+		untilKept(f, agents, 4*time.Second, theStore, map[string]int{})
+		time.Sleep(600 * time.Millisecond) // a call is held there
+		stop := watch(func() {
+			for _, agent := range agents {
+				_, isUp := keptAt(agent, theStore)
+				is.True(isUp)
+			}
+		})
+		b.silence(storeAt, true)
+		time.Sleep(100 * time.Millisecond)
+		b.silence(storeAt, false)
+		b.keep(storeAt, 8, map[string]int{"d/t": 7})
+		untilKept(f, agents, 4*time.Second, theStore, map[string]int{"d/t": 7})
+		stop()
+	})
+}
+
+// A replica that leaves, and a pool whose news may not be read, have no readers any more.
+func TestNobodyReadsWhoLeaves(t *testing.T) {
+	t.Parallel()
+	keeping(t, 233, func(is *is.I, f *Fleet, b *backends, agents []*link.Follower) {
+		untilKept(f, agents, 5*time.Second, "pool-01", map[string]int{"d/pool-01": 100})
+		b.change("pool-01", func(r *backend) { r.State = "leaving" })
+		f.declare(0, pools(2, blueprint.Pool{Name: "pool", Kind: "model", Models: []string{"m"}, MaxReaders: 3}, blueprint.Pool{Name: "st", Kind: "store", Address: storeAt}))
+		time.Sleep(5 * time.Second)
+		one, two, store := b.readTimes("10.0.2.1:80"), b.readTimes("10.0.2.2:80"), b.readTimes(storeAt)
+		time.Sleep(5 * time.Second)
+		is.Equal(b.readTimes("10.0.2.1:80"), one)
+		is.Equal(b.readTimes(storeAt), store)
+		_, err := b.reader("10.0.2.2:80", two)
+		is.NoErr(err)
+	})
+}
