--- /dev/null
+++ b/daemon/bounds_test.go
@@ -0,0 +1,33 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// What follows from a deployment's bounds: where revoked keys are to be refused everywhere, a proxy serves without news for less than that
+// takes; else for long; old versions end before their bound, and daemons before theirs.
+func TestOptionsFollowFromBounds(t *testing.T) {
+	is := is.New(t)
+	b := Bounds{IsClosed: true, Revoke: 5 * time.Second, Version: 15 * time.Second, Lease: 3 * time.Second, Grace: 8 * time.Second, MemoryMB: 284}
+	a, p, c := b.Agent(), b.Proxy(), b.Core()
+	is.Equal(a.Fresh, 4*time.Second)
+	is.Equal(a.Undecided, 4*time.Second)
+	is.Equal(p.OldWeights, 13*time.Second)
+	is.Equal(c.Lease, 3*time.Second)
+	is.True(c.IsSelfAdmitting)
+	is.Equal(p.Index, 28400)
+	is.Equal(p.Room, int64(71<<20))
+	is.True(p.Linger < p.Grace && p.Grace < b.Grace && p.Grace < a.Grace && a.Grace < b.Grace) // the agent ends after its proxy
+	b.IsClosed = false
+	is.Equal(b.Agent().Fresh, 10*time.Second)
+	b.IsClosed, b.Revoke = true, time.Minute
+	is.Equal(b.Agent().Fresh, 10*time.Second)
+	b.Revoke = time.Second
+	is.Equal(b.Agent().Fresh, freshTerm) // no less than links need
+	b.Grace = 900 * time.Millisecond
+	is.Equal(b.Proxy().Grace, time.Duration(0))
+	is.True(b.Proxy().Linger < b.Grace)
+}
--- /dev/null
+++ b/sim/declare_test.go
@@ -0,0 +1,129 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"asterridge/blueprint"
+	"asterridge/daemon"
+	"asterridge/fail"
+)
+
+// Right after a yes all cores stop at once, and one of them loses its disk: when they are back, the newest configuration is read from each,
+// and the one without a disk is a member again within 4 s, whichever it is.
+func TestAllStopAndOneDiskIsLost(t *testing.T) {
+	t.Parallel()
+	for _, cores := range []int{3, 4} {
+		for lost := range cores {
+			isLater := false
+			o := numberedOptions(uint64(240+lost), cores)
+			o.PlaceCore = func(_ int, p *daemon.Place) { p.IsFounded = isLater }
+			inNumbered(t, o, func(is *is.I, f *Fleet) {
+				all := members("core-1 core-2 core-3 core-4"[:7*cores-1])
+				f.untilCouncil(10*time.Second, all)
+				isLater = true
+				f.declare(0, numbered(1, 0, true, "a"))
+				is.NoErr(f.core((lost+1)%cores).Declare(context.Background(), numbered(2, 1, false, "b")))
+				for i := range cores {
+					f.Kill(CoreIP(i))
+				}
+				f.Disks[lost].Wipe()
+				for i := range cores {
+					f.StartCore((lost + i) % cores)
+					time.Sleep(100 * time.Millisecond)
+				}
+				f.Until(4*time.Second, "all are back", func() bool { return members(f.council()) == all })
+				for i := range cores {
+					number, names, err := f.declared(i)
+					is.NoErr(err)
+					is.Equal(number, uint64(2))
+					is.Equal(names, []string{"a", "b"})
+				}
+			})
+		}
+	}
+}
+
+// A core is killed while a configuration is being taken, at any moment of it. Repeated unchanged at the others, the call is answered with a
+// clear word in the end, and what was said stands: a yes is there for good, and after a conflict another one is there.
+func TestDeclarationWhileACoreIsKilledIsDecidedOnce(t *testing.T) {
+	t.Parallel()
+	inNumbered(t, numberedOptions(250, 4), func(is *is.I, f *Fleet) {
+		f.untilCouncil(10*time.Second, allFour)
+		f.declare(0, numbered(1, 0, true, "a"))
+		random := rand.New(rand.NewPCG(250, 1))
+		for n := uint64(2); n < 42; n++ {
+			killed, asked := random.IntN(4), random.IntN(4)
+			d := numbered(n, n-1, false, fmt.Sprint("p", n))
+			said := make(chan error, 1)
+			go func() {
+				short, stop := context.WithTimeout(context.Background(), time.Second) // then operators' tools move on
+				defer stop()
+				said <- f.core(asked).Declare(short, d)
+			}()
+			time.Sleep(time.Duration(random.IntN(12000)) * time.Microsecond)
+			f.Kill(CoreIP(killed))
+			err := <-said
+			is.True(err == nil || !fail.Is(err, fail.Conflict) && !fail.Is(err, fail.OutOfRange)) // nobody else declares
+			other := (killed + 1 + random.IntN(3)) % 4
+			f.declare(other, d)
+			number, names, err := f.declared(other)
+			is.NoErr(err)
+			is.Equal(number, n)
+			is.Equal(len(names), int(n)) // the path a, and one for each number from 2
+			f.StartCore(killed)
+			f.untilCouncil(5*time.Second, allFour)
+		}
+	})
+}
+
+// Access keys that are declared with a tenant open its paths at every proxy, and no longer once they are taken away; a key may go over to
+// another tenant.
+func TestDeclaredKeysAreGivenAndTakenAway(t *testing.T) {
+	t.Parallel()
+	inNumbered(t, numberedOptions(251, 4), func(is *is.I, f *Fleet) {
+		f.untilCouncil(10*time.Second, allFour)
+		tenant := func(d *blueprint.Declaration, name string, keys ...string) {
+			made := blueprint.Tenant{Name: name, Weight: 1, Backlog: 5, Scope: "pool"}
+			for _, key := range keys {
+				made.Keys = append(made.Keys, blueprint.HashKey(key+"-key"))
+			}
+			d.Items.Apply(blueprint.Field("tenant/"+name, made))
+			d.Digest += fmt.Sprint(name, keys)
+		}
+		closed := blueprint.Path{Name: "chat", Address: "/v1/chat/completions", Pool: "web", DeadlineMs: 1000, MaxBody: 1000, Cost: 1}
+		d := numbered(1, 0, true)
+		d.Items.Apply(blueprint.Field("path/chat", closed))
+		tenant(&d, "one", "a", "b")
+		f.declare(0, d)
+		opens := func(keys ...string) func() bool {
+			return func() bool {
+				for i := range f.Proxies {
+					for _, key := range []string{"a", "b", "c"} {
+						_, code, _ := f.Ask(i, key, "", chat("light"))
+						if (code == fmt.Sprint(fail.NoReplica.Number)) != slices.Contains(keys, key) {
+							return false
+						}
+					}
+				}
+				return true
+			}
+		}
+		f.Until(4*time.Second, "a and b open", opens("a", "b"))
+		d = numbered(2, 1, false)
+		tenant(&d, "one", "b", "c")
+		f.declare(1, d)
+		f.Until(2*time.Second, "b and c open", opens("b", "c"))
+		d = numbered(3, 2, false)
+		d.Removed = []string{"tenant/one"}
+		tenant(&d, "two", "a")
+		f.declare(2, d)
+		f.Until(2*time.Second, "a alone opens", opens("a"))
+	})
+}
