--- a/sim/backend_test.go
+++ b/sim/backend_test.go
@@ -295,6 +295,20 @@
 	return kept, isUp
 }
 
+// given lists the orders that came until now.
+func (b *backends) given() []ordered {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.orders)
+}
+
+// atOnce is the most of a pool that were loading at once.
+func (b *backends) atOnce(pool string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.loading[pool]
+}
+
 // byTime sorts orders.
 func byTime(all []ordered) []ordered {
 	return slices.SortedStableFunc(slices.Values(all), func(a, b ordered) int { return cmp.Compare(a.at.UnixNano(), b.at.UnixNano()) })
--- a/sim/fleet.go
+++ b/sim/fleet.go
@@ -53,7 +53,7 @@
 	kills      map[string]context.CancelFunc // by host
 	running    sync.WaitGroup
 	Proxies    []*daemon.Proxy
-	Cores      map[int]*daemon.Core // as last started
+	Cores      map[int]*daemon.Core // as last started and serving
 	Ledgers    standin.Ledgers
 	Diary      standin.Diary
 	AgentSeeds []string // of agents started from now on
@@ -170,6 +170,11 @@
 	if f.Options.Backend != nil {
 		o.Backend = f.Options.Backend(i)
 	}
+	o.Endpoints = func(c *daemon.Core, _ *http.ServeMux) { // it can be asked from now on
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.Cores[i] = c
+	}
 	if o.ClaimAge == 0 {
 		o.ClaimAge = f.Options.ClaimAge
 	}
@@ -195,9 +200,6 @@
 		if err != nil {
 			return // another start was quicker
 		}
-		f.mu.Lock()
-		f.Cores[i] = core
-		f.mu.Unlock()
 		_ = core.Serve(ctx, listener)
 	})
 }
--- a/sim/loading_red_test.go
+++ b/sim/loading_red_test.go
@@ -44,7 +44,7 @@
 	rollout(t, 228, b, pools(1, oneModel), func(is *is.I, f *Fleet, _ *link.Follower) {
 		f.nameVersion(0, "m", 2)
 		f.Until(time.Minute, "all have it", func() bool { return b.has("m", 2) })
-		is.Equal(b.loading["pool"], 3)
+		is.Equal(b.atOnce("pool"), 3)
 	})
 }
 
@@ -69,7 +69,7 @@
 		f.Until(time.Minute, "all have both", func() bool { return b.has("m", 2) && b.has("n", 2) })
 		f.Until(10*time.Second, "no mark is left", func() bool { return len(marks(watcher)) == 0 })
 		stop()
-		t.Logf("%d orders to 10 replicas", len(b.orders))
+		t.Logf("%d orders to 10 replicas", len(b.given()))
 		is.Equal(changes, 0)
 	})
 }
--- a/sim/loading_test.go
+++ b/sim/loading_test.go
@@ -91,23 +91,23 @@
 		time.Sleep(2 * listLag)
 		stop()
 		is.Equal(opened, 15) // though the list tells late what they have
-		t.Logf("%v; marked at once: %d, loading at once: %d", took, most, b.loading["pool"])
+		t.Logf("%v; marked at once: %d, loading at once: %d", took, most, b.atOnce("pool"))
 		is.Equal(most, 5)
-		is.Equal(len(b.orders), 15) // nobody was told twice
-		for _, o := range b.orders {
+		is.Equal(len(b.given()), 15) // nobody was told twice
+		for _, o := range b.given() {
 			is.True(o.isTaken)
-			is.Equal(o.core, b.orders[0].core)
-			is.Equal(o.Holder, b.orders[0].Holder)
+			is.Equal(o.core, b.given()[0].core)
+			is.Equal(o.Holder, b.given()[0].Holder)
 		}
 		time.Sleep(20 * time.Second)
-		is.Equal(len(b.orders), 15)
+		is.Equal(len(b.given()), 15)
 		f.nameVersion(0, "m", 2) // named already
 		f.nameVersion(0, "m", 1)
 		time.Sleep(5 * time.Second)
 		named, err := blueprint.Load[blueprint.Model](watcher.Read(blueprint.ModelsKey).Fields)
 		is.NoErr(err)
 		is.Equal(named["m"].Version, uint64(2))
-		is.Equal(len(b.orders), 15)
+		is.Equal(len(b.given()), 15)
 	})
 }
 
@@ -119,12 +119,12 @@
 	b.add("pool", 15, "m")
 	rollout(t, 221, b, pools(1, oneModel), func(is *is.I, f *Fleet, watcher *link.Follower) {
 		f.nameVersion(0, "m", 2)
-		f.Until(20*time.Second, "some are ordered", func() bool { return len(b.orders) >= 4 })
-		first := b.orders[0].core
+		f.Until(20*time.Second, "some are ordered", func() bool { return len(b.given()) >= 4 })
+		first := b.given()[0].core
 		f.Kill(CoreIP(first))
 		f.Until(time.Minute, "all have it", func() bool { return b.has("m", 2) })
 		checkOrders(is, b, loadLease)
-		is.True(b.orders[len(b.orders)-1].core != first)
+		is.True(b.given()[len(b.given())-1].core != first)
 		f.StartCore(first)
 		time.Sleep(5 * time.Second)
 		f.nameVersion(first, "m", 3)
@@ -136,9 +136,7 @@
 // checkOrders looks at all orders: fences rise with the holders, and each holder begins a lease after the last word of the one before.
 func checkOrders(is *is.I, b *backends, lease time.Duration) {
 	is.Helper()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	all := byTime(b.orders)
+	all := byTime(b.given())
 	for i, o := range all[1:] {
 		before := all[i]
 		is.True(o.Fence >= before.Fence)
@@ -156,8 +154,8 @@
 	b.add("pool", 15, "m")
 	rollout(t, 222, b, pools(1, oneModel), func(is *is.I, f *Fleet, _ *link.Follower) {
 		f.nameVersion(0, "m", 2)
-		f.Until(20*time.Second, "some are ordered", func() bool { return len(b.orders) >= 2 })
-		first := b.orders[0].core
+		f.Until(20*time.Second, "some are ordered", func() bool { return len(b.given()) >= 2 })
+		first := b.given()[0].core
 		var others []string
 		for i := range 3 {
 			if i != first {
@@ -168,7 +166,7 @@
 		f.Net.Part(others, []string{CoreIP(first)}, true)
 		f.Until(time.Minute, "all have it", func() bool { return b.has("m", 2) })
 		checkOrders(is, b, loadLease)
-		is.True(b.orders[len(b.orders)-1].core != first)
+		is.True(b.given()[len(b.given())-1].core != first)
 		f.Net.Part([]string{CoreIP(first)}, others, false)
 		f.Net.Part(others, []string{CoreIP(first)}, false)
 	})
@@ -223,7 +221,7 @@
 	b.add("pool", 10, "m")
 	rollout(t, 225, b, pools(1, oneModel), func(is *is.I, f *Fleet, watcher *link.Follower) {
 		f.nameVersion(0, "m", 2)
-		f.Until(20*time.Second, "some are ordered", func() bool { return len(b.orders) >= 2 })
+		f.Until(20*time.Second, "some are ordered", func() bool { return len(b.given()) >= 2 })
 		f.nameVersion(1, "m", 5)
 		f.Until(time.Minute, "all have the newer", func() bool { return b.has("m", 5) })
 		f.Until(10*time.Second, "no mark is left", func() bool { return len(marks(watcher)) == 0 })
