--- a/cmd/hollow/backend.go
+++ b/cmd/hollow/backend.go
@@ -9,6 +9,7 @@
 	"asterridge/blueprint"
 	"asterridge/daemon"
 	"asterridge/link"
+	"asterridge/router"
 )
 
 // hollowBackend lists replicas that do not exist, and makes up the news of what they keep.
@@ -50,6 +51,11 @@
 	return r.Models, false, nil
 }
 
+// Occupancy is told where proxies outnumber slots.
+func (b *hollowBackend) Occupancy(_ context.Context, r blueprint.Replica) (router.Occupancy, error) {
+	return router.Occupancy{Running: 1, Slots: r.Limit}, nil
+}
+
 // Load does nothing.
 func (b *hollowBackend) Load(context.Context, blueprint.Replica, daemon.Order) error { return nil }
 
--- a/daemon/agent.go
+++ b/daemon/agent.go
@@ -224,6 +224,7 @@
 					takeHolds(a.table)(f, answer)
 					a.takeKept(f, answer)
 					a.takeNamed(answer)
+					a.takeOccupancy(answer)
 				},
 				Fresh: func(*link.Follower, time.Time, time.Duration) { a.digest(ctx) },
 			})
@@ -287,6 +288,15 @@
 	}
 }
 
+// takeOccupancy passes on the load of replicas; an older word than was had does no harm for long.
+func (a *Agent) takeOccupancy(answer link.Answer) {
+	for _, e := range answer.Entries {
+		if e.Key == router.OccupancyKey && len(e.Fields) > 0 && !answer.IsImage {
+			a.source.PutSoon(e.Key, e.Fields, false)
+		}
+	}
+}
+
 // takeNamed passes on since when versions are named, as the core knows it that has known it for longest.
 func (a *Agent) takeNamed(answer link.Answer) {
 	for _, e := range answer.Entries {
--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -9,6 +9,7 @@
 
 	"asterridge/blueprint"
 	"asterridge/register"
+	"asterridge/router"
 	"asterridge/term"
 )
 
@@ -20,6 +21,8 @@
 	Versions(ctx context.Context, r blueprint.Replica) (models map[string]uint64, isBusy bool, err error)
 	// Load orders a replica to take a version when what runs on it has ended.
 	Load(ctx context.Context, r blueprint.Replica, o Order) error
+	// Occupancy asks a replica for its load.
+	Occupancy(ctx context.Context, r blueprint.Replica) (router.Occupancy, error)
 	// Kept gives what a replica or store has got or lost of prompts since a place in its news, waiting for some; the zero place: all there is.
 	Kept(ctx context.Context, address string, from KeptPlace, wait time.Duration) (KeptNews, error)
 }
@@ -42,14 +45,15 @@
 }
 
 const (
-	listStep     = time.Second
-	loadStep     = 200 * time.Millisecond
-	loadTerm     = 2 * time.Second
-	announceTime = 250 * time.Millisecond // between the word that a replica will load and the order: the proxies let it run dry
-	loadPart     = 5                      // so much of a pool loads at a time: a fifth
-	loadAhead    = 3                      // beyond that, a third as many run dry or are being looked after
-	orderAgain   = 2 * time.Second
-	orderRest    = 5 * time.Second // a replica that does not answer is left for later
+	listStep      = time.Second
+	occupancyStep = time.Second
+	loadStep      = 200 * time.Millisecond
+	loadTerm      = 2 * time.Second
+	announceTime  = 250 * time.Millisecond // between the word that a replica will load and the order: the proxies let it run dry
+	loadPart      = 5                      // so much of a pool loads at a time: a fifth
+	loadAhead     = 3                      // beyond that, a third as many run dry or are being looked after
+	orderAgain    = 2 * time.Second
+	orderRest     = 5 * time.Second // a replica that does not answer is left for later
 )
 
 // runBackend has this core look after the list of replicas and their models, as far as it is drawn for that.
@@ -58,6 +62,7 @@
 		seat: c.newSeat("loading", loadTerm)}
 	go every(ctx, listStep, func() { c.listReplicas(ctx) })
 	go c.readKept(ctx)
+	go every(ctx, occupancyStep, func() { c.tellOccupancy(ctx) })
 	go every(ctx, loadStep, func() { l.step(ctx) })
 }
 
@@ -93,6 +98,42 @@
 	return Accepted{stamp.Version}, err
 }
 
+// tellOccupancy asks replicas for their load, and tells all agents, where their slots are too few for each proxy to have one to itself:
+// what a proxy sees by itself is then not enough to go by (§5.3). Each replica is asked by the core that would own its news.
+func (c *Core) tellOccupancy(ctx context.Context) {
+	if c.council().self == nil {
+		return
+	}
+	c.mu.Lock()
+	proxies := len(c.proxies)
+	c.mu.Unlock()
+	replicas, err := blueprint.Load[blueprint.Replica](c.keeper.Read(blueprint.ReplicasKey).Fields)
+	if err != nil {
+		return
+	}
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	fields, live := register.Fields{}, c.live()
+	for name, r := range replicas {
+		if r.Limit >= proxies || r.State == "leaving" || register.Draw(router.KeptPrefix+name, live) != c.place.Name {
+			continue
+		}
+		asked.Go(func() {
+			short, stop := context.WithTimeout(ctx, occupancyStep)
+			defer stop()
+			if o, err := c.options.Backend.Occupancy(short, r); err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				fields[name] = o.Taken()
+			}
+		})
+	}
+	asked.Wait()
+	if len(fields) > 0 {
+		c.data.PutSoon(router.OccupancyKey, fields, false)
+	}
+}
+
 // loader is the duty of having replicas load the versions that operators have named. What it does stands in the register of loads before it
 // is done: proxies keep away from a replica that will load, and the next holder goes on from there.
 type loader struct {
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -59,8 +59,9 @@
 	loads   func(context.Context, register.Fields) (Accepted, error)
 	resolve func(context.Context, SettleOrder) (SettleAnswer, error)
 
-	kept      keptNews
-	toldNamed sync.Map // versions of models whose coming was told to the agents
+	kept       keptNews
+	saidFailed sync.Map // keys whose catching up has failed, as the log has it
+	toldNamed  sync.Map // versions of models whose coming was told to the agents
 
 	claims map[string]time.Time // when this process first saw a claim; of the pruning alone
 
@@ -379,10 +380,13 @@
 			continue
 		}
 		if err := c.keeper.Adopt(key, held.Stamp, held.Fields); err != nil {
-			c.place.Log.Error().Str("event", "catch_up_failed").Str("key", key).Err(err).Msg("")
+			if _, isSaid := c.saidFailed.LoadOrStore(key, true); !isSaid { // a full disk fails each beat
+				c.place.Log.Error().Str("event", "catch_up_failed").Str("key", key).Err(err).Msg("")
+			}
 			failed++
 			continue
 		}
+		c.saidFailed.Delete(key)
 		c.place.Log.Info().Str("event", "caught_up").Str("key", key).Uint64("version", held.Stamp.Version).Msg("")
 	}
 	return failed
@@ -421,9 +425,11 @@
 			fields[status.Proxy.Proxy] = json.RawMessage(`true`)
 		}
 	}
+	c.mu.Lock()
 	change := blueprint.Delta(c.proxies, fields)
+	c.proxies = fields
+	c.mu.Unlock()
 	if len(change) > 0 {
-		c.proxies = fields
 		c.data.Put(router.ProxiesKey, register.Stamp{}, register.Stamp{}, change, false)
 	}
 }
--- a/router/pool.go
+++ b/router/pool.go
@@ -34,8 +34,10 @@
 	againCost   = 2.0   // times its reading: what others may share, and nobody has been heard to keep yet, is best read in one place
 	zoneCost    = 4.0   // ms: a replica in another zone
 	waitCost    = 40.0  // ms for each request that a replica has said to be waiting
-	seenAge     = time.Second
-	leastSample = 1000 // units of a prompt from which the reading rate is learned
+	seenAge     = 2 * time.Second
+	fullCost    = 300.0 // ms: a replica whose memory does not hold the prompt beside what runs
+	unseenRoom  = 2     // requests that a proxy sends to a replica of which it knows nothing, whatever its share
+	leastSample = 1000  // units of a prompt from which the reading rate is learned
 	readBase    = 25 * time.Millisecond
 	loadWeight  = 40.0
 	fetchDelay  = 5.0   // ms before the first byte of a fetched prefix
@@ -100,7 +102,7 @@
 	for _, f := range fit {
 		rep, d := f.replica, f.standing
 		work, source := r.work(x, v, p, rep, d.kept)
-		cost := r.cost(rep, work, now)
+		cost := r.cost(rep, x.Prompt.Size(), work, now)
 		if x.Prompt.Parts != nil && rep.Zone != r.options.Zone {
 			cost += zoneCost
 		}
@@ -255,15 +257,18 @@
 }
 
 // cost adds the replica's load and warm-up to the work.
-func (r *Router) cost(rep *replica, work float64, now time.Time) float64 {
+func (r *Router) cost(rep *replica, size int, work float64, now time.Time) float64 {
 	busy, isWarm := float64(rep.running.Load()), rep.State != "warming"
 	if said := rep.report.Load(); said != nil {
 		busy, isWarm = float64(said.Running)+float64(rep.sent.Load()), said.IsWarm
 	} else {
 		work += float64(rep.pending.Load()) / rep.rate()
 		if seen := rep.seen.Load(); seen != nil && now.Sub(seen.at) < seenAge {
-			busy = max(busy, float64(seen.Running))
+			busy = max(busy, float64(seen.Running)+float64(rep.sent.Load()))
 			work += waitCost * float64(seen.Waiting)
+			if seen.Free > 0 && size > seen.Free {
+				work += fullCost
+			}
 		}
 	}
 	cost := work + loadWeight*busy*busy/float64(max(1, rep.Limit))/float64(max(1, rep.Limit))
@@ -273,6 +278,14 @@
 	return cost
 }
 
+// occupied takes a replica's word for its load; what this proxy sent since counts beside it.
+func (rep *replica) occupied(o *Occupancy) {
+	if before := rep.seen.Load(); before == nil || before.at.Before(o.at) {
+		rep.seen.Store(o)
+		rep.sent.Store(0)
+	}
+}
+
 // rate is how fast the replica reads a prompt anew, in its units per ms: as it tells, or as was learned.
 func (rep *replica) rate() float64 {
 	if said := rep.report.Load(); said != nil {
@@ -325,13 +338,13 @@
 	if own < rep.share {
 		return true
 	}
-	running := -1.0
 	if said := rep.report.Load(); said != nil {
-		running = float64(said.Running) + float64(rep.sent.Load())
-	} else if seen := rep.seen.Load(); seen != nil && now.Sub(seen.at) < seenAge {
-		running = float64(max(seen.Running+seen.Waiting, own))
+		return float64(said.Running)+float64(rep.sent.Load())+1 <= r.borrow.part()*float64(rep.Limit)
+	}
+	if seen := rep.seen.Load(); seen != nil && now.Sub(seen.at) < seenAge {
+		return max(seen.Running+seen.Waiting+int(rep.sent.Load()), own)+1 <= int(borrowMost*float64(rep.Limit))
 	}
-	return running >= 0 && running+1 <= r.borrow.part()*float64(rep.Limit)
+	return r.options.Dialect.ReportPath() == "" && own < unseenRoom
 }
 
 // borrowing is the part of a replica's slots up to which this proxy goes beyond its share. Reports are old by the time of several requests,
--- a/router/router.go
+++ b/router/router.go
@@ -35,6 +35,8 @@
 	HoldKey    = "hold"
 	ReportsKey = "reports"
 	KeptPrefix = "kept/"
+	// OccupancyKey has the load of replicas whose slots are too few for a share of each proxy: running, waiting, room (§5.3).
+	OccupancyKey = "occupancy"
 	// DisturbedKey says when a core was last seen to fall silent or to return: until then the cores may not have been able to go on
 	// with what they do, so that what has a term counts it from there (§6.2).
 	DisturbedKey = "disturbed"
@@ -218,6 +220,8 @@
 		switch {
 		case e.Key == HoldKey:
 			r.table.Learn(e.Fields, e.AgesMs)
+		case e.Key == OccupancyKey:
+			r.learnOccupancy(e.Fields, e.AgesMs)
 		case e.Key == NamedKey:
 			r.named.Learn(e.Fields, e.AgesMs)
 		case e.Key == DisturbedKey:
@@ -248,6 +252,22 @@
 	r.backlog.WakeAll()
 }
 
+func (r *Router) learnOccupancy(fields register.Fields, agesMs map[string]int64) {
+	v := r.view.Load()
+	if v == nil {
+		return
+	}
+	for name, raw := range fields {
+		var told []int
+		rep := v.replicas[name]
+		if rep == nil || json.Unmarshal(raw, &told) != nil || len(told) != 3 {
+			continue
+		}
+		rep.occupied(&Occupancy{Running: told[0], Waiting: told[1], Free: told[2], Slots: rep.Limit,
+			at: time.Now().Add(-time.Duration(agesMs[name]) * time.Millisecond)})
+	}
+}
+
 func (r *Router) learnReports(fields register.Fields) {
 	v := r.view.Load()
 	if v == nil {
--- a/router/send.go
+++ b/router/send.go
@@ -92,7 +92,10 @@
 func (r *Router) learnAnswer(x *Exchange, answer *http.Response) {
 	if seen, isTold := r.options.Dialect.Occupancy(answer); isTold {
 		seen.at = time.Now()
-		x.replica.seen.Store(&seen)
+		if before := x.replica.seen.Load(); before != nil {
+			seen.Free = before.Free
+		}
+		x.replica.occupied(&seen)
 	}
 	if version := r.options.Dialect.Version(answer); version > x.replica.seenVersion.Load() {
 		x.replica.seenVersion.Store(version)
--- a/router/view.go
+++ b/router/view.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"encoding/json"
 	"net"
 	"slices"
 	"sort"
@@ -96,12 +97,19 @@
 	seenVersion atomic.Uint64
 }
 
-// Occupancy is what a replica tells of its load in an answer.
+// Occupancy is what a replica tells of its load: in an answer, or to the core that asks it for all.
 type Occupancy struct {
 	Running, Waiting, Slots int
+	Free                    int // units of prompts that fit beside what runs; 0: not told
 	at                      time.Time
 }
 
+// Taken is the part of it that is told to all, as one field.
+func (o Occupancy) Taken() json.RawMessage {
+	raw, _ := json.Marshal([]int{o.Running, o.Waiting, o.Free}) // whole numbers always encode
+	return raw
+}
+
 func newLoad() *load {
 	l := &load{}
 	l.coolUntil.Store(&time.Time{})
--- a/sim/backend_test.go
+++ b/sim/backend_test.go
@@ -135,6 +135,11 @@
 	return all, nil
 }
 
+// Occupancy is told for all back ends alike; the proxies of these tests have slots enough and are not told of it.
+func (v view) Occupancy(context.Context, blueprint.Replica) (router.Occupancy, error) {
+	return router.Occupancy{Slots: 1}, nil
+}
+
 func (v view) Versions(ctx context.Context, r blueprint.Replica) (map[string]uint64, bool, error) {
 	v.mu.Lock()
 	own := v.replicas[r.Name]
