--- /dev/null
+++ b/blueprint/adapter.go
@@ -0,0 +1,271 @@
+package blueprint
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"asterridge/fail"
+	"asterridge/register"
+)
+
+// RetirementKey is the register of the retirements, by the old base (§6.6).
+const RetirementKey = "retirement"
+
+// Adapter is a small change upon a base model, built for each base that it runs on.
+type Adapter struct {
+	Name    string            `json:"name"`
+	Base    string            `json:"base"`              // where it was declared; retirements lead on from there
+	Builds  map[string]string `json:"builds,omitempty"`  // base → build
+	Tenants []string          `json:"tenants,omitempty"` // that may use it; none: all
+}
+
+// Phase of a retirement, or of one adapter in it.
+type Phase string
+
+const (
+	Moving   Phase = "moving"   // adapters are loaded on the new base, tried, switched
+	Clearing Phase = "clearing" // every adapter answers there; no proxy may be able to send to the old base before the first drop
+	Dropping Phase = "dropping" // from here on there is no way back
+	Retired  Phase = "retired"
+	Undoing  Phase = "undoing" // routes lead to the old base again; the new one is dropped
+
+	Switched Phase = "switched" // of an adapter: its route leads to the new base
+	Live     Phase = "live"     // … and it has answered live traffic there on enough replicas of every pool
+)
+
+// Retirement moves every adapter of one base to another, and drops the old one.
+type Retirement struct {
+	Number uint64          `json:"number"` // the register's version that began it
+	Old    string          `json:"old"`
+	New    string          `json:"new"`
+	Phase  Phase           `json:"phase"`
+	Since  time.Time       `json:"since"` // for operators alone
+	Moves  map[string]Move `json:"moves,omitempty"`
+}
+
+// Move is what has become of one adapter; one that is not there yet is being loaded.
+type Move struct {
+	Phase Phase     `json:"phase"`
+	Build string    `json:"build"`
+	Since time.Time `json:"since"` // for operators alone
+}
+
+// With gives the retirement with one more step; what was there is not touched.
+func (t Retirement) With(phase Phase, adapter string, m Move) Retirement {
+	t.Moves = maps.Clone(t.Moves)
+	if adapter != "" {
+		if t.Moves == nil {
+			t.Moves = map[string]Move{}
+		}
+		t.Moves[adapter] = m
+	}
+	if t.Phase != phase {
+		t.Phase, t.Since = phase, m.Since
+	}
+	return t
+}
+
+// IsRunning says whether there is something left to do.
+func (t Retirement) IsRunning() bool { return t.Phase != Retired }
+
+// IsPast says whether the way back is gone.
+func (t Retirement) IsPast() bool { return t.Phase == Dropping || t.Phase == Retired }
+
+// Retirements are all there were, by the old base.
+type Retirements map[string]Retirement
+
+// Duty is who last took up the retirements, and under which term: older terms' steps are refused.
+type Duty struct {
+	Holder string `json:"holder"`
+	Term   uint64 `json:"term"`
+}
+
+// DutyField of the register has the Duty; all others are retirements.
+const DutyField = "~duty"
+
+// ReadRetirements reads the register.
+func ReadRetirements(fields register.Fields) (Retirements, Duty, error) {
+	fields = maps.Clone(fields)
+	duty, err := Load[Duty](register.Fields{DutyField: orNull(fields[DutyField])})
+	if err != nil {
+		return nil, Duty{}, err
+	}
+	delete(fields, DutyField)
+	all, err := Load[Retirement](fields)
+	return all, duty[DutyField], err
+}
+
+func orNull(raw []byte) []byte {
+	if raw == nil {
+		return []byte("null")
+	}
+	return raw
+}
+
+// Route is the base and the build that an adapter's requests go to now.
+func (s Retirements) Route(a Adapter) (base, build string) {
+	base, build = a.Base, a.Builds[a.Base]
+	for range s { // each retirement leads on at most once
+		t, isThere := s[base]
+		if !isThere || t.Phase == Undoing {
+			return base, build
+		}
+		m, isSwitched := t.Moves[a.Name]
+		switch {
+		case isSwitched:
+			base, build = t.New, m.Build
+		case t.IsPast(): // declared since
+			base, build = t.New, a.Builds[t.New]
+		default:
+			return base, build
+		}
+	}
+	return base, build
+}
+
+// IsOn says whether an adapter is on a base, or was until a retirement led it on.
+func (s Retirements) IsOn(a Adapter, base string) bool {
+	at := a.Base
+	for range len(s) + 1 {
+		if at == base {
+			return true
+		}
+		t, isThere := s[at]
+		if !isThere || t.Phase == Undoing {
+			return false
+		}
+		at = t.New
+	}
+	return false
+}
+
+// Crossing gives a retirement that has one of the bases in hand.
+func (s Retirements) Crossing(bases ...string) (Retirement, bool) {
+	for _, old := range slices.Sorted(maps.Keys(s)) {
+		if t := s[old]; t.IsRunning() && (slices.Contains(bases, t.Old) || slices.Contains(bases, t.New)) {
+			return t, true
+		}
+	}
+	return Retirement{}, false
+}
+
+func readAdapter(a *Adapter, field string, v Value) error {
+	switch field {
+	case "name":
+		return set(&a.Name, v.Name)
+	case "base":
+		return set(&a.Base, v.Name)
+	case "builds": // are added to and changed, not taken away: a retirement may count on them
+		builds := maps.Clone(a.Builds)
+		if builds == nil {
+			builds = map[string]string{}
+		}
+		a.Builds = builds
+		return v.Object(func(base string, v Value) (err error) {
+			builds[base], err = v.Name()
+			return err
+		})
+	case "tenants":
+		a.Tenants = nil
+		return v.List(func(item Value) error {
+			name, err := item.Name()
+			a.Tenants = append(a.Tenants, name)
+			return err
+		})
+	}
+	return v.Refuse(fail.UnknownField, "not a field of an adapter")
+}
+
+// checkAdapters looks for dangling references of adapters and to them.
+func (b *Blueprint) checkAdapters() error {
+	refuse := func(c fail.Code, field, format string, args ...any) error {
+		f := fail.New(c, format, args...)
+		f.Field = field
+		return f
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.Adapters)) {
+		a := b.Adapters[name]
+		if a.Base == "" {
+			return refuse(fail.Missing, "adapters."+name+".base", "an adapter needs a base model")
+		}
+		for _, tenant := range a.Tenants {
+			if _, isThere := b.Tenants[tenant]; !isThere {
+				return refuse(fail.Dangling, "adapters."+name+".tenants", "there is no tenant %q", tenant)
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(b.Paths)) {
+		p := b.Paths[name]
+		if p.Adapter == "" {
+			continue
+		}
+		if _, isThere := b.Adapters[p.Adapter]; !isThere {
+			return refuse(fail.Dangling, "paths."+name+".adapter", "there is no adapter %q", p.Adapter)
+		}
+		for _, target := range p.Pools() {
+			if kind := b.Pools[target.Pool].Kind; kind != "model" {
+				return refuse(fail.Dangling, "paths."+name+".adapter", "pool %q has no model for an adapter", target.Pool)
+			}
+		}
+	}
+	return nil
+}
+
+// KeepBases refuses a blueprint that moves an adapter by itself: what answers on a base is changed by a retirement alone (§6.6).
+func (b *Blueprint) KeepBases(before *Blueprint) error {
+	for _, name := range slices.Sorted(maps.Keys(b.Adapters)) {
+		was, isThere := before.Adapters[name]
+		if now := b.Adapters[name]; isThere && (now.Base != was.Base || was.Builds[was.Base] != "" && now.Builds[was.Base] != was.Builds[was.Base]) {
+			f := fail.New(fail.Conflict, "adapter %q is on %s with build %q: a retirement moves it", name, was.Base, was.Builds[was.Base])
+			f.Field = "adapters." + name
+			return f
+		}
+	}
+	return nil
+}
+
+// Upon is one adapter on one base, with its build.
+type Upon struct {
+	Adapter string `json:"adapter"`
+	Base    string `json:"base"`
+	Build   string `json:"build"`
+}
+
+// Key names an adapter on a base among what a replica has.
+func (u Upon) Key() string { return u.Adapter + "@" + u.Base }
+
+// Needs lists, by pool, which adapters its replicas are to have on which bases.
+func (b *Blueprint) Needs(s Retirements) map[string][]Upon {
+	needs := map[string][]Upon{}
+	for _, name := range slices.Sorted(maps.Keys(b.Paths)) {
+		p := b.Paths[name]
+		a, isThere := b.Adapters[p.Adapter]
+		if !isThere {
+			continue
+		}
+		var all []Upon
+		base, build := s.Route(a)
+		all = append(all, Upon{a.Name, base, build})
+		for _, t := range s {
+			if t.IsRunning() && t.Phase != Undoing && s.IsOn(a, t.Old) {
+				if base != t.New {
+					all = append(all, Upon{a.Name, t.New, a.Builds[t.New]})
+				} else if !t.IsPast() { // the way back stays open
+					before := maps.Clone(s)
+					delete(before, t.Old)
+					base, build := before.Route(a)
+					all = append(all, Upon{a.Name, base, build})
+				}
+			}
+		}
+		for _, target := range p.Pools() {
+			for _, u := range all {
+				if u.Build != "" && !slices.Contains(needs[target.Pool], u) {
+					needs[target.Pool] = append(needs[target.Pool], u)
+				}
+			}
+		}
+	}
+	return needs
+}
--- a/blueprint/blueprint.go
+++ b/blueprint/blueprint.go
@@ -64,6 +64,7 @@
 	Urgency     int      `json:"urgency,omitempty"`   // 0 goes first
 	IsResumable bool     `json:"resumable,omitempty"` // a stream that broke off may go on at another replica (§5.7)
 	IsPublic    bool     `json:"public,omitempty"`    // needs no access key
+	Adapter     string   `json:"adapter,omitempty"`   // that the requests run on (§6.6)
 }
 
 // Target is a pool with its share of a path's requests.
@@ -99,17 +100,18 @@
 
 // Blueprint is the whole declaration.
 type Blueprint struct {
-	Tenants map[string]Tenant
-	Pools   map[string]Pool
-	Paths   map[string]Path
-	Hold    Hold
-	Limits  Limits
+	Tenants  map[string]Tenant
+	Pools    map[string]Pool
+	Paths    map[string]Path
+	Adapters map[string]Adapter
+	Hold     Hold
+	Limits   Limits
 }
 
 // Empty is a blueprint with the default hold.
 func Empty() *Blueprint {
 	return &Blueprint{
-		Tenants: map[string]Tenant{}, Pools: map[string]Pool{}, Paths: map[string]Path{},
+		Tenants: map[string]Tenant{}, Pools: map[string]Pool{}, Paths: map[string]Path{}, Adapters: map[string]Adapter{},
 		Hold: Hold{BaseMs: 1000, CapMs: 64000, Jitter: 1, SlowRatio: 3},
 	}
 }
@@ -127,6 +129,8 @@
 			err = load(b.Pools, rest, raw)
 		case "path":
 			err = load(b.Paths, rest, raw)
+		case "adapter":
+			err = load(b.Adapters, rest, raw)
 		case "hold":
 			err = json.Unmarshal(raw, &b.Hold)
 		case "limits":
@@ -175,6 +179,9 @@
 	for name, p := range b.Paths {
 		put("path/"+name, p)
 	}
+	for name, a := range b.Adapters {
+		put("adapter/"+name, a)
+	}
 	put("hold", b.Hold)
 	if b.Limits != (Limits{}) {
 		put("limits", b.Limits)
@@ -247,7 +254,7 @@
 			owners[key] = name
 		}
 	}
-	return nil
+	return b.checkAdapters()
 }
 
 // Read takes an operator's text: whole, or partial upon the present blueprint. Nothing of a bad text is used.
@@ -270,6 +277,7 @@
 		for name, p := range base.Paths {
 			b.Paths[name] = p
 		}
+		maps.Copy(b.Adapters, base.Adapters)
 		b.Hold, b.Limits = base.Hold, base.Limits
 	}
 	err = doc.Object(func(name string, v Value) error {
@@ -280,6 +288,8 @@
 			return items(v, b.Pools, Pool{Kind: "model"}, readPool)
 		case "paths":
 			return items(v, b.Paths, Path{DeadlineMs: 30000, MaxBody: 1 << 20, Cost: 1}, readPath)
+		case "adapters":
+			return items(v, b.Adapters, Adapter{}, readAdapter)
 		case "hold":
 			return readHold(v, &b.Hold)
 		case "limits":
@@ -351,6 +361,9 @@
 			case "paths":
 				_, isThere = b.Paths[name]
 				delete(b.Paths, name)
+			case "adapters":
+				_, isThere = b.Adapters[name]
+				delete(b.Adapters, name)
 			default:
 				return list.Refuse(fail.UnknownField, "nothing of this kind can be removed")
 			}
@@ -472,6 +485,8 @@
 		return set(&p.IsResumable, v.Flag)
 	case "public":
 		return set(&p.IsPublic, v.Flag)
+	case "adapter":
+		return set(&p.Adapter, v.Name)
 	}
 	return v.Refuse(fail.UnknownField, "not a field of a path")
 }
--- a/fail/fail.go
+++ b/fail/fail.go
@@ -68,6 +68,7 @@
 	NoClaim       = code(225, "no_claim", 503, NotRun, "the key could not be claimed on a majority of disks")
 	ForeignAnswer = code(226, "foreign_answer", 502, Unknown, "the answer bears another request's id")
 	CallerGone    = code(227, "caller_gone", 499, NotRun, "the caller left while waiting")
+	NoAdapter     = code(230, "no_adapter", 403, NotRun, "the adapter is not for this tenant")
 
 	Conflict     = code(300, "conflict", 409, NotRun, "the expected version is not the present one")
 	NoMajority   = code(301, "no_majority", 503, NotRun, "no majority of cores answered; nothing was changed")
@@ -85,6 +86,10 @@
 	OtherMembers = code(313, "other_members", 409, NotRun, "the two cores do not act on the same list of members")
 	OtherVersion = code(314, "other_version", 400, NotRun, "a message of another version of the daemons' talk")
 
+	NoBuild  = code(330, "no_build", 409, NotRun, "an adapter has no build for the new base")
+	Crossed  = code(331, "crossed_retirement", 409, NotRun, "another retirement has the model in hand, or has taken it away")
+	PastUndo = code(332, "past_undo", 409, NotRun, "the old base is being dropped, or is gone: there is no way back")
+
 	Syntax   = code(400, "syntax", 400, NotRun, "the command cannot be read")
 	Settings = code(401, "bad_settings", 400, NotRun, "a setting or flag is wrong")
 	Internal = code(500, "internal", 500, Unknown, "a fault of this program")
--- /dev/null
+++ b/router/adapter.go
@@ -0,0 +1,123 @@
+package router
+
+import (
+	"net/http"
+	"slices"
+
+	"asterridge/blueprint"
+	"asterridge/fail"
+	"asterridge/register"
+)
+
+// AdapterReport is what a replica says of the bases beside its weights and of the adapters upon them (§6.6).
+type AdapterReport struct {
+	Bases    map[string]Base    `json:"bases,omitempty"`
+	Adapters map[string]Adapter `json:"adapters,omitempty"` // by NAME@BASE
+}
+
+// Base is a base model that a replica has, or is loading.
+type Base struct {
+	IsLoading bool `json:"loading,omitempty"`
+	Running   int  `json:"running,omitempty"`
+}
+
+// Adapter is a build of an adapter that a replica has on a base.
+type Adapter struct {
+	Build string `json:"build"`
+	State string `json:"state"`          // "loading", "loaded", "tried", or "bad": its trial answer was wrong
+	Live  int    `json:"live,omitempty"` // whole answers to callers
+}
+
+// States of an adapter on a replica.
+const (
+	AdapterLoading = "loading"
+	AdapterLoaded  = "loaded"
+	AdapterTried   = "tried"
+	AdapterBad     = "bad"
+)
+
+// compileAdapters takes the routes of the adapters.
+func (v *View) compileAdapters(plan *blueprint.Blueprint, read func(key string) (register.Stamp, register.Fields)) error {
+	_, fields := read(blueprint.RetirementKey)
+	retirements, _, err := blueprint.ReadRetirements(fields)
+	if err != nil {
+		return err
+	}
+	v.adapters = map[string]adapter{}
+	for name, a := range plan.Adapters {
+		base, build := retirements.Route(a)
+		v.adapters[name] = adapter{a.Tenants, blueprint.Upon{Adapter: name, Base: base, Build: build}}
+	}
+	return nil
+}
+
+// adapter is a route, and who may use it; none named: everybody.
+type adapter struct {
+	tenants []string
+	upon    blueprint.Upon
+}
+
+// mayUse refuses a tenant that may not use the path's adapter.
+func (v *View) mayUse(t *tenant, p *path) error {
+	if a := v.adapters[p.Adapter]; len(a.tenants) > 0 && !slices.Contains(a.tenants, t.Name) {
+		return fail.New(fail.NoAdapter, "adapter %s is not for %s", p.Adapter, t.Name)
+	}
+	return nil
+}
+
+// upon gives the base and adapter that the path's requests run on now, and whether the replica has it.
+func (v *View) upon(p *path, rep *replica) (on blueprint.Upon, isFit bool) {
+	if p.Adapter == "" {
+		return on, true
+	}
+	on = v.adapters[p.Adapter].upon
+	said := rep.report.Load()
+	if said == nil {
+		return on, false
+	}
+	has := said.Adapters[on.Key()]
+	return on, on.Build != "" && has.Build == on.Build && has.State == AdapterTried
+}
+
+// domainOf adds the base and the adapter to what separates kept prompts (§6.3).
+func domainOf(weights string, on blueprint.Upon) string {
+	if on.Adapter == "" {
+		return weights
+	}
+	return weights + "+" + on.Key() + "." + on.Build
+}
+
+// Headers that tell a replica what a request runs on.
+const (
+	baseHeader    = "X-Base"
+	adapterHeader = "X-Adapter"
+	buildHeader   = "X-Adapter-Build"
+)
+
+// dressUpon says to the replica what the request runs on; a caller does not say it for us.
+func dressUpon(h http.Header, on blueprint.Upon) {
+	for name, value := range map[string]string{baseHeader: on.Base, adapterHeader: on.Adapter, buildHeader: on.Build} {
+		h.Del(name)
+		if on.Adapter != "" {
+			h.Set(name, value)
+		}
+	}
+}
+
+// AdapterPath is where replicas take orders for bases and adapters.
+const AdapterPath = "/adapters"
+
+// AdapterOrder has a replica load or drop a base, or load or try an adapter; one under a lower term than the replica has met is refused.
+type AdapterOrder struct {
+	blueprint.Upon
+	Do   string `json:"do"`
+	Term uint64 `json:"term"`
+}
+
+// What an order may ask for.
+const (
+	LoadBase    = "load base"
+	DropBase    = "drop base" // refused while work runs on it
+	LoadAdapter = "load adapter"
+	TryAdapter  = "try adapter" // the replica answers a trial prompt with it
+)
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"asterridge/backlog"
+	"asterridge/blueprint"
 	"asterridge/fail"
 	"asterridge/prompt"
 )
@@ -104,6 +105,7 @@
 	item      backlog.Item
 	replica   *replica
 	weights   string
+	upon      blueprint.Upon
 	source    string
 	sink      string
 	reading   credit // until the first piece
--- a/router/filters.go
+++ b/router/filters.go
@@ -129,6 +129,9 @@
 	if p == nil {
 		return fail.New(fail.NoPath, "no path for %s and model %q", x.Request.URL.Path, x.Prompt.Model)
 	}
+	if err := v.mayUse(t, p); err != nil {
+		return err
+	}
 	x.View, x.Tenant, x.Path, x.Pool, x.IsRepeatable = v, t, p, p.draw(x.ID), p.IsRepeatable || p.IsResumable
 	switch x.door.opening.Repeat {
 	case "yes":
@@ -285,6 +288,7 @@
 		return again(fail.Of(err), time.Second)
 	}
 	x.replica, x.weights, x.source, x.sink, x.reading = c.replica, c.weights, c.source, c.sink, c
+	x.upon = c.upon
 	isKept := false
 	defer func() {
 		if !isKept {
--- a/router/send.go
+++ b/router/send.go
@@ -35,13 +35,16 @@
 	if weights, isFit := r.mayServe(v, p.draw(x.ID), rep, x.Prompt.Model, time.Now()); !isFit || weights != x.weights {
 		return nil, errRedraw
 	}
+	if on, isReady := v.upon(p, rep); !isReady || on != x.upon {
+		return nil, errRedraw // the route has switched: the base is drawn at the write (§6.6)
+	}
 	return v, nil
 }
 
 // Handle sends the request to its replica and waits for the first piece of the answer.
 func (f sendFilter) Handle(_ context.Context, x *Exchange, _ func(context.Context, *Exchange) error) error {
 	r, rep := f.r, x.replica
-	domain := prompt.Domain(x.Tenant.Name, x.Tenant.Born, x.Tenant.IsWalled, x.weights)
+	domain := prompt.Domain(x.Tenant.Name, x.Tenant.Born, x.Tenant.IsWalled, domainOf(x.weights, x.upon))
 	if _, err := r.recheck(x); err != nil {
 		return err
 	}
@@ -127,6 +130,7 @@
 		s.Weights = ""
 	}
 	r.options.Dialect.Dress(q.Header, x, s)
+	dressUpon(q.Header, x.upon)
 	// A body reader without GetBody keeps net/http from resending by itself (§5.4).
 	q.Body, q.GetBody = io.NopCloser(struct{ io.Reader }{bytes.NewReader(x.Body)}), nil
 	if len(x.Body) > 0 {
--- a/router/view.go
+++ b/router/view.go
@@ -27,6 +27,7 @@
 	hold     blueprint.Hold
 	limits   blueprint.Limits
 	proxies  []string
+	adapters map[string]adapter // by name (§6.6)
 }
 
 // model is a model with the version that operators have named, and until when each one before it may still start work (§6.2).
@@ -124,6 +125,7 @@
 	Rate    float64 `json:"rate"` // bytes of prompt read anew per ms
 	// Fetch has, by source, the bytes of prompt that this replica has got per ms; a source that it has not tried is not there.
 	Fetch map[string]float64 `json:"fetch,omitempty"`
+	AdapterReport
 }
 
 type report struct {
@@ -168,6 +170,9 @@
 	if err := r.compileModels(v, old, read, wasCurrent); err != nil {
 		return nil, err
 	}
+	if err := v.compileAdapters(plan, read); err != nil {
+		return nil, err
+	}
 	_, told := read(blueprint.LoadsKey)
 	orders, err := blueprint.Load[blueprint.LoadOrder](told)
 	if err != nil {
--- /dev/null
+++ b/standin/adapter.go
@@ -0,0 +1,133 @@
+package standin
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"strings"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/router"
+)
+
+// uponOf reads what a request is to run on.
+func uponOf(q *http.Request) blueprint.Upon {
+	return blueprint.Upon{Adapter: q.Header.Get("X-Adapter"), Base: q.Header.Get("X-Base"), Build: q.Header.Get("X-Adapter-Build")}
+}
+
+// lacks says why a request cannot run here; empty: it can. r.mu is held.
+func (r *Replica) lacks(on blueprint.Upon) string {
+	base, isThere := r.bases[on.Base]
+	has := r.adapters[on.Key()]
+	switch {
+	case on.Adapter == "":
+		return ""
+	case !isThere || base.IsLoading:
+		return "base_gone"
+	case has.Build != on.Build || has.State != router.AdapterTried:
+		return "adapter_gone"
+	}
+	return ""
+}
+
+// runs counts a request that begins (1) or ends (-1) on its base; r.mu is held.
+func (r *Replica) runs(on blueprint.Upon, step int) {
+	if base, isThere := r.bases[on.Base]; isThere {
+		base.Running += step
+		r.bases[on.Base] = base
+	}
+}
+
+// answered counts a whole answer of an adapter.
+func (r *Replica) answered(on blueprint.Upon) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if has, isThere := r.adapters[on.Key()]; isThere && has.Build == on.Build {
+		has.Live++
+		r.adapters[on.Key()] = has
+	}
+}
+
+// adapterReport is what the report tells of bases and adapters; r.mu is held.
+func (r *Replica) adapterReport() router.AdapterReport {
+	return router.AdapterReport{Bases: maps.Clone(r.bases), Adapters: maps.Clone(r.adapters)}
+}
+
+// takeOrder takes an order for a base or an adapter; one under an older term than was met is refused.
+func (r *Replica) takeOrder(w http.ResponseWriter, q *http.Request) {
+	var o router.AdapterOrder
+	if err := json.NewDecoder(q.Body).Decode(&o); err != nil || o.Base == "" {
+		http.Error(w, "needs a base", http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if o.Term < r.term {
+		http.Error(w, "an older term", http.StatusConflict)
+		return
+	}
+	r.term = o.Term
+	base, isThere := r.bases[o.Base]
+	has := r.adapters[o.Key()]
+	switch o.Do {
+	case router.LoadBase:
+		if !isThere {
+			r.bases[o.Base] = router.Base{IsLoading: true}
+			r.later(r.options.LoadMs, func() {
+				if r.bases[o.Base].IsLoading { // it may have been dropped meanwhile
+					r.bases[o.Base] = router.Base{}
+				}
+			})
+		}
+	case router.LoadAdapter:
+		if !isThere || base.IsLoading {
+			http.Error(w, "no such base", http.StatusConflict)
+			return
+		}
+		if has.Build != o.Build {
+			r.adapters[o.Key()] = router.Adapter{Build: o.Build, State: router.AdapterLoading}
+			r.later(r.options.LoadMs/4, func() {
+				if r.adapters[o.Key()].Build == o.Build {
+					r.adapters[o.Key()] = router.Adapter{Build: o.Build, State: router.AdapterLoaded}
+				}
+			})
+		}
+	case router.TryAdapter:
+		if has.Build != o.Build || has.State != router.AdapterLoaded {
+			http.Error(w, "not loaded", http.StatusConflict)
+			return
+		}
+		has.State = router.AdapterTried
+		if o.Build == r.conducts[""].BadBuild {
+			has.State = router.AdapterBad // its answer is not what the build was approved with
+		}
+		r.adapters[o.Key()] = has
+	case router.DropBase:
+		if base.Running > 0 {
+			http.Error(w, "work runs on it", http.StatusConflict)
+			return
+		}
+		if isThere {
+			r.dropBase(o.Base)
+		}
+	default:
+		http.Error(w, "unknown order", http.StatusBadRequest)
+	}
+}
+
+// dropBase forgets a base with all upon it, and notes it in the ledger; r.mu is held.
+func (r *Replica) dropBase(name string) {
+	delete(r.bases, name)
+	maps.DeleteFunc(r.adapters, func(key string, _ router.Adapter) bool { return strings.HasSuffix(key, "@"+name) })
+	r.options.Ledger(Run{Replica: r.options.Name, Dropped: name, At: time.Now()})
+}
+
+// later does something under the lock when a load has taken its time.
+func (r *Replica) later(ms int, do func()) {
+	time.AfterFunc(time.Duration(ms)*time.Millisecond, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		do()
+	})
+}
--- a/standin/caller.go
+++ b/standin/caller.go
@@ -79,6 +79,7 @@
 	Prefix   string // makes tags unique over runs
 	Ledger   func(Asked)
 	Deadline time.Duration // of each whole request
+	Kinds    []Kind        // none: the brief's three and the web back end
 	Heavy    int           // bytes of the heaviest kind's prefix, in eight sessions; 0: as Kinds has it
 }
 
@@ -157,7 +158,11 @@
 	}
 	pick = random.IntN(100)
 	kind := Kinds[0]
-	for _, k := range Kinds {
+	kinds := o.Kinds
+	if kinds == nil {
+		kinds = Kinds
+	}
+	for _, k := range kinds {
 		if pick -= k.Weight; pick < 0 {
 			kind = k
 			break
--- a/standin/check.go
+++ b/standin/check.go
@@ -71,6 +71,7 @@
 	1: "not repeatable, ran twice", 2: "said not run, ran", 3: "not the replica's own whole answer", 4: "stream broken, or looks finished",
 	5: "revoked key worked after 5 s", 6: "older configuration after 2 s", 7: "leaving replica got work after 3 s", 8: "another tenant's cache and a wall",
 	9: "other weights' cache, or old weights after 20 s", 10: "second tries over a fifth", 11: "an accepted configuration is lost", 12: "service not back after 12 s",
+	13: "a base dropped before its adapters answered on the new one", 14: "answered from the old base after 3 s",
 }
 
 const (
@@ -87,12 +88,13 @@
 	findings []Finding
 	byTag    map[string][]Run
 	asked    map[string]Asked
+	drops    []Run // of bases
 }
 
 // Check compares the ledgers and counts each rule's breaches.
 func Check(l Ledgers) []Finding {
-	c := &check{Ledgers: l, findings: make([]Finding, 13), byTag: map[string][]Run{}, asked: map[string]Asked{}}
-	c.Runs = LastOfEach(l.Runs)
+	c := &check{Ledgers: l, findings: make([]Finding, len(ruleNames)+1), byTag: map[string][]Run{}, asked: map[string]Asked{}}
+	c.Runs, c.drops = apart(LastOfEach(l.Runs))
 	c.Facts = slices.Clone(l.Facts)
 	sort.SliceStable(c.Facts, func(i, j int) bool { return c.Facts[i].At.Before(c.Facts[j].At) })
 	for _, r := range c.Runs {
@@ -111,6 +113,7 @@
 	c.secondTries()
 	c.configuration()
 	c.returns()
+	c.retirements()
 	for rule := range c.findings {
 		c.findings[rule].Rule, c.findings[rule].Name = rule, ruleNames[rule]
 	}
@@ -243,6 +246,7 @@
 		}
 	}
 	c.walls(r)
+	c.route(r)
 	pool, _, _ := strings.Cut(r.Replica, "-")
 	if allowed, isKnown := c.weightsAt(pool, r.At); isKnown {
 		if c.seen(9); !slices.Contains(allowed, r.Weights) {
--- a/standin/check_test.go
+++ b/standin/check_test.go
@@ -72,6 +72,51 @@
 	return State{where, map[string]Kept{blueprint.Key: {version, register.Fields{"tenant/a": json.RawMessage(value)}}}}
 }
 
+func baseAt(seconds float64, base string) Fact {
+	return Fact{Kind: Base, Name: "closures", Value: base, At: at(seconds)}
+}
+
+func retireAt(seconds float64, from, to string) Fact {
+	return Fact{Kind: Retire, Name: from, Value: to, At: at(seconds)}
+}
+
+func on(base string) func(*Asked, *Run) {
+	return func(_ *Asked, r *Run) { r.Upon = blueprint.Upon{Adapter: "closures", Base: base, Build: "x"} }
+}
+
+// droppedAt adds a drop of the base that the first run was on, or of the new one where a retirement is among the facts.
+func droppedAt(when time.Time, l Ledgers) Ledgers {
+	base := l.Runs[0].Base
+	for _, f := range l.Facts {
+		if f.Kind == Retire {
+			base = f.Value
+		}
+	}
+	l.Runs = append(l.Runs, Run{Replica: "r-1", Dropped: base, At: when})
+	return l
+}
+
+// moved has two adapters answer on b1, then on the given bases, there in the given pool; then b1 is dropped.
+func moved(switched, dropped float64, closures, huts string, pool ...string) (l Ledgers) {
+	l.Facts = []Fact{retireAt(1, "b1", "b2")}
+	for adapter, now := range map[string]string{"closures": closures, "huts": huts} {
+		l.Facts = append(l.Facts, Fact{Kind: Base, Name: adapter, Value: "b1", At: at(0)})
+		if now == "b2" {
+			l.Facts = append(l.Facts, Fact{Kind: Base, Name: adapter, Value: "b2", At: at(switched)})
+		}
+		for n, base := range []string{"b1", now} {
+			a, r := served(adapter+base+fmt.Sprint(n), 6+20*float64(n))
+			r.Upon = blueprint.Upon{Adapter: adapter, Base: base, Build: "x"}
+			if len(pool) > 0 && n == 1 {
+				r.Replica = pool[0] + "-1"
+			}
+			l.Asked, l.Runs = append(l.Asked, a), append(l.Runs, r)
+		}
+	}
+	l.Runs = append(l.Runs, Run{Replica: "r-1", Dropped: "b1", At: at(dropped)})
+	return l
+}
+
 func plants() []plant {
 	nothing := func(*Asked, *Run) {}
 	onWeights := func(version string) func(*Asked, *Run) { return func(_ *Asked, r *Run) { r.Weights = version } }
@@ -154,6 +199,16 @@
 			Rest: []State{holds("core-1", 2, `{"weight":4}`)}}},
 		{12, "no whole answer in time", one(nothing, Fact{Kind: Returned, At: at(10)})},
 		{12, "none after the return", one(nothing, Fact{Kind: Returned, At: at(40)})},
+		{13, "a base dropped before one of two adapters answered", moved(8, 40, "b1", "b2")},
+		{13, "a base dropped that nobody retired", droppedAt(at(41), one(on("b1"), baseAt(0, "b1")))},
+		{13, "… after answers in another pool alone", moved(8, 40, "b2", "b2", "other")},
+		{0, "a base dropped after both have answered", moved(8, 40, "b2", "b2")},
+		{0, "the new base dropped after an undo", droppedAt(at(41), one(on("b1"), baseAt(0, "b1"), retireAt(5, "b1", "b2"), baseAt(8, "b2"), baseAt(20, "b1"),
+			Fact{Kind: Undone, Name: "b1", At: at(20)}))},
+		{14, "the old base after its adapter was moved", one(on("b1"), baseAt(0, "b1"), baseAt(26, "b2"))},
+		{14, "the new base after an adapter was moved there and back", one(on("b2"), baseAt(0, "b1"), baseAt(10, "b2"), baseAt(20, "b1"))},
+		{0, "the old base a moment after", one(on("b1"), baseAt(0, "b1"), baseAt(28, "b2"))},
+		{0, "the new base, a moment before the yes was heard", one(on("b2"), baseAt(0, "b1"), baseAt(31, "b2"))},
 		{0, "back in time", one(nothing, Fact{Kind: Returned, At: at(19)})},
 	}
 }
@@ -172,5 +227,5 @@
 			}
 		}
 	}
-	is.New(t).Equal(len(isPlanted), 13) // none, and each of the twelve
+	is.New(t).Equal(len(isPlanted), 15) // none, each of the twelve, and the two of retirements
 }
--- a/standin/diary.go
+++ b/standin/diary.go
@@ -32,6 +32,9 @@
 	Present  = "present"
 	Weights  = "weights"
 	Wall     = "wall"     // value: up, down, or removed with its tenant
+	Base     = "base"     // of an adapter, as declared, or since its route has switched
+	Retire   = "retire"   // name: the old base, value: the new one
+	Undone   = "undone"   // a retirement, by its old base
 	Returned = "returned" // all machines are back: service is due
 )
 
@@ -77,6 +80,8 @@
 		IsRevoked bool            `json:"revoked"`
 		Do        string          `json:"do"`
 		Name      string          `json:"name"`
+		Old       string          `json:"old"`
+		New       string          `json:"new"`
 	}
 	_ = json.Unmarshal(raw, &o)
 	took := Fact{Kind: Took, Version: version, IsTried: isTried, Fields: register.Fields{}}
@@ -106,6 +111,13 @@
 		if o.IsRevoked {
 			more(Revoked, o.Hash, "")
 		}
+	case "retirement": // its register is the duty's from there on: rule 11 asks only that all hold the same
+		if o.Do == "undo" {
+			more(Undone, o.Old, "")
+		} else {
+			more(Retire, o.Old, o.New)
+		}
+		return
 	case "members":
 		took.Name = blueprint.MembersKey
 		took.Fields[o.Name], _ = json.Marshal(map[string]string{"name": o.Name})
@@ -118,9 +130,13 @@
 
 // readBlueprint turns an operator's text into register fields, and notes what rules speak of.
 func readBlueprint(text []byte, fields register.Fields, more func(kind, name, value string)) {
-	for list, kind := range map[string]string{"tenants": "tenant/", "pools": "pool/", "paths": "path/"} {
+	for list, kind := range map[string]string{"tenants": "tenant/", "pools": "pool/", "paths": "path/", "adapters": "adapter/"} {
 		for _, item := range readList(text, list) {
 			name := word(item["name"])
+			if base := word(item["base"]); base != "" {
+				more(Base, name, base)
+			}
+			delete(item, "builds") // are added to those that are there
 			fields[kind+name], _ = json.Marshal(item)
 			if weights := word(item["weights"]); weights != "" {
 				more(Weights, name, weights)
--- a/standin/kv.go
+++ b/standin/kv.go
@@ -8,15 +8,17 @@
 	"net/http"
 	"time"
 
+	"asterridge/blueprint"
 	"asterridge/prompt"
 )
 
 // kvBlock is a block on its way between replicas and stores, with who made it and under which weights.
 type kvBlock struct {
-	Hash    string    `json:"hash"`
-	Tenant  string    `json:"tenant"`
-	Weights string    `json:"weights"`
-	At      time.Time `json:"at"`
+	Hash    string         `json:"hash"`
+	Tenant  string         `json:"tenant"`
+	Weights string         `json:"weights"`
+	At      time.Time      `json:"at"`
+	Upon    blueprint.Upon `json:"upon,omitzero"`
 }
 
 type kvAnswer struct {
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"asterridge/blueprint"
 	"asterridge/prompt"
 	"asterridge/router"
 )
@@ -55,8 +56,10 @@
 	Fetched  int       `json:"fetched,omitempty"`  // bytes got from a peer or store
 	Outdated int       `json:"outdated,omitempty"` // blocks of the cache made under other weights
 	ID       string    `json:"id,omitempty"`       // the router's id of the request
-	Salt     string    `json:"salt,omitempty"`     // of this run alone: two runs of one request write different pieces
-	Pieces   int       `json:"pieces,omitempty"`   // of a stream
+	blueprint.Upon
+	Dropped string `json:"dropped,omitempty"` // a base that was dropped: no request
+	Salt    string `json:"salt,omitempty"`    // of this run alone: two runs of one request write different pieces
+	Pieces  int    `json:"pieces,omitempty"`  // of a stream
 	// Met has, by tenant, when the oldest block of the cache that was read had been made.
 	Met map[string]time.Time `json:"met,omitempty"`
 }
@@ -73,6 +76,7 @@
 	IsUnnamed  bool    `json:"unnamed,omitempty"`     // refusals do not name the tenant as their ground
 	RetryIn    int     `json:"retry_in,omitempty"`    // seconds: sent with refusals as an HTTP date by this replica's clock
 	News       string  `json:"news,omitempty"`        // of what the cache keeps, for all from now on: "true", "lost" or "wrong"
+	BadBuild   string  `json:"bad_build,omitempty"`   // of an adapter: its trial answer is wrong, for all
 	IsFailing  bool    `json:"failing,omitempty"`     // answers with an error of its own, after it ran
 }
 
@@ -94,6 +98,9 @@
 	conducts  map[string]Behaviour
 	fetch     map[string]float64 // by source's name
 	news      string
+	bases     map[string]router.Base
+	adapters  map[string]router.Adapter // by NAME@BASE
+	term      uint64                    // the highest met in an order for a base or adapter
 }
 
 type change struct {
@@ -108,7 +115,7 @@
 func NewReplica(options ReplicaOptions) *Replica {
 	return &Replica{options: options, run: rand.Text()[:8], weights: options.Weights, number: 1,
 		warmAt: time.Now().Add(time.Duration(options.WarmMs) * time.Millisecond),
-		cache:  map[string]*kvBlock{}, conducts: map[string]Behaviour{}, fetch: map[string]float64{}}
+		cache:  map[string]*kvBlock{}, conducts: map[string]Behaviour{}, fetch: map[string]float64{}, bases: map[string]router.Base{}, adapters: map[string]router.Adapter{}}
 }
 
 // Handler serves requests, reports and the controls.
@@ -117,6 +124,7 @@
 	mux.HandleFunc("GET /report", r.report)
 	mux.HandleFunc("POST /control", r.control)
 	mux.HandleFunc("POST /weights", r.load)
+	mux.HandleFunc("POST "+router.AdapterPath, r.takeOrder)
 	mux.HandleFunc("POST /kv/get", r.giveBlocks)
 	mux.HandleFunc("POST /kv/put", r.takeBlocks)
 	mux.HandleFunc("/", r.serve)
@@ -188,7 +196,7 @@
 		IsImage bool     `json:"image"`
 		Kept    []string `json:"kept,omitempty"`
 		Dropped []string `json:"dropped,omitempty"`
-	}{Report: router.Report{Run: r.run, Number: r.number, Weights: r.weights, Running: r.running, IsWarm: r.isWarm(), Rate: r.options.Rate, Fetch: maps.Clone(r.fetch)}}
+	}{Report: router.Report{Run: r.run, Number: r.number, Weights: r.weights, Running: r.running, IsWarm: r.isWarm(), Rate: r.options.Rate, Fetch: maps.Clone(r.fetch), AdapterReport: r.adapterReport()}}
 	if r.isLoading {
 		body.Weights = router.Loading
 	}
@@ -248,7 +256,7 @@
 	}
 	run := Run{Replica: r.options.Name, Tag: q.Header.Get("X-Caller-Tag"), Key: q.Header.Get("Idempotency-Key"),
 		Tenant: q.Header.Get("X-Tenant"), Domain: q.Header.Get("X-Cache-Domain"), At: time.Now(),
-		ID: q.Header.Get("X-Request-Id")}
+		ID: q.Header.Get("X-Request-Id"), Upon: uponOf(q)}
 	var body chat
 	if r.options.Kind == "model" {
 		if err := json.Unmarshal(raw, &body); err != nil {
@@ -258,12 +266,16 @@
 	}
 	r.mu.Lock()
 	run.Weights = r.weights
-	all, own := r.conducts[""], r.conducts[run.Tenant]
+	all, own, lacking := r.conducts[""], r.conducts[run.Tenant], r.lacks(run.Upon)
 	switch {
 	case r.options.Kind == "model" && (r.isLoading || q.Header.Get("X-Expect-Weights") != r.weights):
 		r.mu.Unlock()
 		r.bounce(w, run, http.StatusPreconditionFailed, "weights_mismatch")
 		return
+	case lacking != "":
+		r.mu.Unlock()
+		r.bounce(w, run, http.StatusPreconditionFailed, lacking)
+		return
 	case own.IsRefusing || all.IsRefusing:
 		r.mu.Unlock()
 		kind := "tenant_throttled"
@@ -284,6 +296,7 @@
 		return
 	}
 	r.running++
+	r.runs(run.Upon, 1)
 	isWarm := r.isWarm()
 	r.mu.Unlock()
 	text := ""
@@ -303,6 +316,7 @@
 	defer func() {
 		r.mu.Lock()
 		r.running--
+		r.runs(run.Upon, -1)
 		r.mu.Unlock()
 	}()
 	run.HasRun, run.Salt = true, rand.Text()[:8]
@@ -337,6 +351,7 @@
 		}
 	}
 	run.IsWhole = true
+	r.answered(run.Upon)
 }
 
 // answerWhole answers with one piece: a page, or an error of the replica's own.
@@ -393,12 +408,12 @@
 			if oldest, isMet := run.Met[b.Tenant]; !isMet || b.At.Before(oldest) {
 				run.Met[b.Tenant] = b.At
 			}
-			if b.Weights != r.weights {
+			if b.Weights != r.weights || b.Upon != run.Upon {
 				run.Outdated++
 			}
 		}
 		if b == nil {
-			fresh := kvBlock{hash, run.Tenant, r.weights, run.At}
+			fresh := kvBlock{hash, run.Tenant, r.weights, run.At, run.Upon}
 			r.keep(fresh)
 			made = append(made, fresh)
 		}
--- /dev/null
+++ b/standin/retired.go
@@ -0,0 +1,96 @@
+package standin
+
+import (
+	"strings"
+	"time"
+)
+
+// apart takes the drops of bases out of the requests.
+func apart(lines []Run) (runs, drops []Run) {
+	for _, r := range lines {
+		if r.Dropped != "" {
+			drops = append(drops, r)
+		} else {
+			runs = append(runs, r)
+		}
+	}
+	return runs, drops
+}
+
+func poolOf(replica string) string {
+	pool, _, _ := strings.Cut(replica, "-")
+	return pool
+}
+
+// retirements judges rule 13: before a base is dropped anywhere, every adapter that was on it has given a whole answer to a caller from the
+// new base, in every pool in which it ever ran.
+func (c *check) retirements() {
+	type place struct{ adapter, pool string }
+	serving := map[place]bool{}
+	for _, r := range c.Runs {
+		if r.Adapter != "" && r.HasRun {
+			serving[place{r.Adapter, poolOf(r.Replica)}] = true
+		}
+	}
+	for _, drop := range c.drops {
+		retire, isRetired := c.latest(Retire, drop.Dropped, drop.At.Add(doubtful))
+		for at := range serving {
+			if !c.isConcerned(at.adapter, drop) {
+				continue
+			}
+			if c.seen(13); !isRetired || !c.hasAnswered(at.adapter, retire.Value, at.pool, drop.At) {
+				c.found(13, "%s dropped %s at %s, and %s had not answered in %s from %q", drop.Replica, drop.Dropped, drop.At.Format("15:04:05.000"), at.adapter, at.pool, retire.Value)
+			}
+		}
+	}
+}
+
+// isConcerned says whether an adapter had ever been on the dropped base, and did not leave it by an undone retirement.
+func (c *check) isConcerned(adapter string, drop Run) (isSo bool) {
+	last, wasOn := c.latest(Base, adapter, drop.At)
+	for _, f := range c.Facts {
+		isSo = isSo || f.Kind == Base && f.Name == adapter && f.Value == drop.Dropped && f.At.Before(drop.At)
+		if f.Kind == Retire && f.Value == drop.Dropped && wasOn && last.Value != drop.Dropped {
+			if undone, isUndone := c.latest(Undone, f.Name, drop.At.Add(doubtful)); isUndone && !undone.At.Before(f.At) {
+				return false
+			}
+		}
+	}
+	return isSo
+}
+
+func (c *check) hasAnswered(adapter, base, pool string, before time.Time) bool {
+	for _, r := range c.Runs {
+		if r.Adapter == adapter && r.Base == base && r.IsWhole && r.At.Before(before) && poolOf(r.Replica) == pool && c.asked[r.Tag].Status == 200 {
+			return true
+		}
+	}
+	return false
+}
+
+// route judges rule 14: a run is on the base that was in force at some moment of the last 3 s.
+func (c *check) route(r Run) {
+	if r.Adapter == "" {
+		return
+	}
+	var allowed []string
+	for _, f := range c.Facts {
+		switch {
+		case f.Kind != Base || f.Name != r.Adapter || f.At.After(r.At.Add(doubtful)):
+		case !f.IsTried && r.At.Sub(f.At) > 3*time.Second:
+			allowed = []string{f.Value}
+		default:
+			allowed = append(allowed, f.Value)
+		}
+	}
+	if allowed == nil {
+		return // by a blueprint that the diary did not see
+	}
+	c.seen(14)
+	for _, base := range allowed {
+		if base == r.Base {
+			return
+		}
+	}
+	c.found(14, "%s ran on %s of %s at %s, when only %v might start", r.Tag, r.Base, r.Adapter, r.At.Format("15:04:05.000"), allowed)
+}
