--- a/cmd/shell/main.go
+++ b/cmd/shell/main.go
@@ -31,12 +31,13 @@
 Commands (docs/shell.md has the grammar):
   show THING [where FIELD = VALUE [and …]]   THING: ` + "%s" + `
   why request ID | why hold SCOPE
-  create|set tenant|pool|path NAME FIELD = VALUE, …      set hold FIELD = VALUE, …
-  remove tenant|pool|path NAME
-  accept weights VERSION for POOL
+  create|set tenant|pool|path|adapter NAME FIELD = VALUE, …      set hold FIELD = VALUE, …
+  remove tenant|pool|path|adapter NAME
+  accept weights VERSION for POOL | accept build BUILD of ADAPTER for MODEL
   grant key KEY to TENANT | revoke key KEY of TENANT
   apply FILE [expect VERSION] | merge FILE [expect VERSION]
   admit core NAME | retire core NAME
+  retire model OLD for NEW | undo retirement [of OLD]
   help | quit
 
 Exit: 0 done, 1 bounced, 2 cannot be read, 3 no core answers.
--- a/cmd/shell/parse.go
+++ b/cmd/shell/parse.go
@@ -119,7 +119,7 @@
 }
 
 // things are what show knows.
-var things = []string{"tenants", "pools", "paths", "hold", "holds", "proxyholds", "fields", "proxyfields", "backlog", "replicas", "requests", "counts", "acks", "members", "owners", "daemons"}
+var things = []string{"tenants", "pools", "paths", "hold", "holds", "proxyholds", "fields", "proxyfields", "backlog", "replicas", "requests", "counts", "acks", "members", "owners", "daemons", "adapters", "retirement"}
 
 // parse reads one line (grammar: docs/shell.md).
 func parse(line string) (command, error) {
@@ -128,7 +128,7 @@
 		return command{}, err
 	}
 	r := &reader{all: all, end: len(strings.TrimRightFunc(line, unicode.IsSpace)) + 1}
-	verb, err := r.word("show", "why", "create", "set", "remove", "accept", "grant", "revoke", "apply", "merge", "admit", "retire", "help", "quit")
+	verb, err := r.word("show", "why", "create", "set", "remove", "accept", "grant", "revoke", "apply", "merge", "admit", "retire", "undo", "help", "quit")
 	if err != nil {
 		return command{}, err
 	}
@@ -154,6 +154,8 @@
 		c, err = r.key("of", true)
 	case "admit", "retire":
 		c, err = r.members(verb)
+	case "undo":
+		c, err = r.undo()
 	case "apply", "merge":
 		c, err = r.apply(verb == "merge")
 	}
@@ -240,7 +242,7 @@
 }
 
 func (r *reader) declare(verb string) (command, error) {
-	words := []string{"tenant", "pool", "path"}
+	words := []string{"tenant", "pool", "path", "adapter"}
 	named := "new"
 	if verb == "set" {
 		words, named = append(words, "hold"), "known"
@@ -262,7 +264,7 @@
 }
 
 func (r *reader) remove() (command, error) {
-	kind, err := r.word("tenant", "pool", "path")
+	kind, err := r.word("tenant", "pool", "path", "adapter")
 	if err != nil {
 		return command{}, err
 	}
@@ -271,8 +273,8 @@
 }
 
 func (r *reader) accept() (command, error) {
-	if _, err := r.word("weights"); err != nil {
-		return command{}, err
+	if what, err := r.word("weights", "build"); err != nil || what == "build" {
+		return r.build(err)
 	}
 	version, err := r.name("version")
 	if err != nil {
@@ -301,8 +303,12 @@
 }
 
 func (r *reader) members(verb string) (command, error) {
-	if _, err := r.word("core"); err != nil {
-		return command{}, err
+	words := []string{"core"}
+	if verb == "retire" {
+		words = append(words, "model")
+	}
+	if what, err := r.word(words...); err != nil || what == "model" {
+		return r.retireModel(err)
 	}
 	name, err := r.name("name")
 	return command{order: "members", body: &daemon.MembersOrder{Do: verb, Name: name}}, err
--- /dev/null
+++ b/cmd/shell/retire.go
@@ -0,0 +1,52 @@
+package main
+
+import "asterridge/daemon"
+
+// between reads NAME WORD NAME WORD NAME …: the names between the given words.
+func (r *reader) between(first string, words ...string) (names []string, err error) {
+	name, err := r.name(first)
+	names = append(names, name)
+	for i := 0; err == nil && i < len(words); i += 2 {
+		if _, err = r.word(words[i]); err == nil {
+			name, err = r.name(words[i+1])
+			names = append(names, name)
+		}
+	}
+	return names, err
+}
+
+// build reads what follows "accept build"; err is what stood in its place.
+func (r *reader) build(err error) (command, error) {
+	if err != nil {
+		return command{}, err
+	}
+	n, err := r.between("build", "of", "adapter", "for", "model")
+	if err != nil {
+		return command{}, err
+	}
+	return partial(map[string]any{"adapters": []any{map[string]any{"name": n[1], "builds": map[string]string{n[2]: n[0]}}}}, "known"), nil
+}
+
+// retireModel reads what follows "retire model".
+func (r *reader) retireModel(err error) (command, error) {
+	if err != nil {
+		return command{}, err
+	}
+	n, err := r.between("model", "for", "model")
+	if err != nil {
+		return command{}, err
+	}
+	return command{order: "retirement", body: &daemon.RetirementOrder{Do: "retire", Old: n[0], New: n[1]}}, nil
+}
+
+// undo reads what follows "undo"; the model need be named only where several retirements run.
+func (r *reader) undo() (command, error) {
+	_, err := r.word("retirement")
+	o := &daemon.RetirementOrder{Do: "undo"}
+	if err == nil && !r.isEnd() {
+		if _, err = r.word("of"); err == nil {
+			o.Old, err = r.name("model")
+		}
+	}
+	return command{order: "retirement", body: o}, err
+}
--- a/cmd/shell/shell_test.go
+++ b/cmd/shell/shell_test.go
@@ -18,6 +18,8 @@
 		``, `shows`, `show`, `show clouds`, `show holds were a = 1`, `show holds where a`, `show holds where a ~ 1`, `show holds where a = `, `why`,
 		`why tenant a`, `create hold x = 1`, `create tenant`, `set tenant a`, `set tenant a weight`, `set tenant a weight = ,`, `create tenant a b`,
 		`accept weights w2`, `accept weights w2 for p now`, `apply f expect many`, `grant key "k`, `show holds where a ! 1`, `remove tenant a, b`,
+		`create adapter huts base = ridge-1`, `set adapter huts base = ridge-2`, `remove adapter huts`, `accept build b2 of huts for ridge-2`, `retire model ridge-1 for ridge-2`,
+		`undo retirement`, `undo retirement of ridge-1`, `show retirement where kind = replica`, `show adapters`, `accept build b2 for ridge-2`, `retire model ridge-1`, `admit model x`, `undo model`,
 	} {
 		c, err := parse(line)
 		fmt.Fprintf(&out, "%s\n", line)
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -40,6 +40,7 @@
 	disk        disk.Disk
 	incarnation string
 	wire        *link.Wire
+	plain       *http.Client // for the replicas of adapters (§6.6)
 	keeper      *register.Keeper
 	owner       *register.Owner
 	whole       *link.Source // for the other cores: every key
@@ -85,7 +86,7 @@
 // NewCore opens the disk and loads what it has.
 func NewCore(place Place, d disk.Disk, options CoreOptions) (*Core, error) {
 	c := &Core{
-		place: place, options: options, disk: d, wire: link.NewWire(place.Fleet, place.Net),
+		place: place, options: options, disk: d, wire: link.NewWire(place.Fleet, place.Net), plain: newPlain(place.Net),
 		followers: map[string]*link.Follower{}, met: map[string]string{}, unsettled: map[string]time.Time{}, strangers: map[string]stranger{}, listNews: make(chan struct{}),
 	}
 	c.table = hold.NewTable(c.holdNews)
@@ -154,7 +155,7 @@
 }
 
 func isForAgents(key string) bool {
-	return key == blueprint.Key || key == blueprint.ModelsKey || key == blueprint.LoadsKey || key == blueprint.ReplicasKey || key == blueprint.MembersKey || strings.HasPrefix(key, blueprint.KeysPrefix)
+	return key == blueprint.Key || key == blueprint.ModelsKey || key == blueprint.LoadsKey || key == blueprint.RetirementKey || key == blueprint.ReplicasKey || key == blueprint.MembersKey || strings.HasPrefix(key, blueprint.KeysPrefix)
 }
 
 func (c *Core) holdNews(e hold.Entry) {
@@ -215,6 +216,8 @@
 	c.declare = op(mux, c, "declaration", func(blueprint.Declaration) string { return blueprint.Key }, c.orderDeclaration, true)
 	c.name = op(mux, c, "models", func(ModelOrder) string { return blueprint.ModelsKey }, c.orderModel, true)
 	c.loads = op(mux, c, "loads", func(register.Fields) string { return blueprint.LoadsKey }, c.orderLoads, true)
+	op(mux, c, "retirement", func(RetirementOrder) string { return blueprint.RetirementKey }, c.orderRetirement, false)
+	op(mux, c, "advance", func(AdvanceOrder) string { return blueprint.RetirementKey }, c.orderAdvance, true)
 	if c.options.Endpoints != nil {
 		c.options.Endpoints(c, mux)
 	}
--- a/daemon/duties.go
+++ b/daemon/duties.go
@@ -78,6 +78,7 @@
 	if c.options.Backend != nil {
 		return // its replicas take their orders from the loader
 	}
+	go c.runRetirements(ctx)
 	go every(ctx, termLength/5, func() {
 		if c.council().self != nil {
 			r.seat.Step(ctx)
--- a/daemon/orders.go
+++ b/daemon/orders.go
@@ -45,6 +45,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := made.KeepBases(base); err != nil {
+			return nil, err
+		}
 		made.Inherit(base, version+1)
 		fields := made.Fields()
 		if isNew := len(fields) > len(now); o.Named == "new" && !isNew && len(now) > 0 {
@@ -102,17 +105,7 @@
 
 // bornOf gives the life of a tenant, as of all that was accepted before.
 func (c *Core) bornOf(ctx context.Context, tenant string) (uint64, error) {
-	short, stop := context.WithTimeout(ctx, majorityWait)
-	defer stop()
-	newest, err := link.Call[SettleAnswer](short, c.wire, c.place.Address, "/op/settle", SettleOrder{Key: blueprint.Key})
-	if err != nil {
-		return 0, err
-	}
-	record, err := c.awaitStamp(short, blueprint.Key, newest.Stamp)
-	if err != nil {
-		return 0, err
-	}
-	plan, err := blueprint.FromFields(record.Fields)
+	plan, err := c.newestPlan(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -357,6 +350,8 @@
 			}
 		}
 		c.mu.Unlock()
+	case "retirement":
+		a.Rows = c.retirementRows(ctx)
 	case "daemons":
 		a.Rows = ringRows(c.ring)
 	case "owners":
@@ -365,9 +360,9 @@
 			a.Rows = append(a.Rows, router.Row{"key": key, "owner": register.Draw(key, c.live()), "epoch": r.Stamp.Epoch,
 				"version": r.Stamp.Version, "settled": r.IsSettled(), "fields": len(r.Fields)})
 		}
-	case "tenants", "pools", "paths", "hold":
+	case "tenants", "pools", "paths", "adapters", "hold":
 		record := c.keeper.Read(blueprint.Key)
-		kinds := map[string]string{"tenants": "tenant/", "pools": "pool/", "paths": "path/", "hold": "hold"}
+		kinds := map[string]string{"tenants": "tenant/", "pools": "pool/", "paths": "path/", "adapters": "adapter/", "hold": "hold"}
 		for name, raw := range record.Fields {
 			if len(name) >= len(kinds[q.What]) && name[:len(kinds[q.What])] == kinds[q.What] {
 				row := router.Row{}
--- /dev/null
+++ b/daemon/retirer.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"asterridge/blueprint"
+	"asterridge/link"
+	"asterridge/router"
+	"asterridge/term"
+)
+
+// retirer is the duty of having replicas load bases and adapters, and of carrying retirements through (§6.6).
+type retirer struct {
+	core  *Core
+	seat  *term.Seat
+	least uint64               // the register's version as this holder has written it: less is not acted upon
+	since map[uint64]time.Time // when a version that awaits the currency's end was first seen here settled
+}
+
+func (c *Core) runRetirements(ctx context.Context) {
+	r := &retirer{core: c, seat: c.newSeat("retirement"), since: map[uint64]time.Time{}}
+	isWanted := func() bool {
+		for field := range c.keeper.Read(blueprint.Key).Fields {
+			if strings.HasPrefix(field, "adapter/") {
+				return c.council().self != nil
+			}
+		}
+		return false
+	}
+	go every(ctx, termLength/5, func() {
+		if isWanted() {
+			r.seat.Step(ctx)
+		}
+	})
+	every(ctx, retireStep, func() {
+		if _, isOurs := r.seat.Holds(); isOurs {
+			r.step(ctx)
+		}
+	})
+}
+
+// step gives replicas the orders that they need, and moves each retirement on by one.
+func (r *retirer) step(ctx context.Context) {
+	s := r.core.survey(ctx)
+	if s == nil || s.version < r.least {
+		return
+	}
+	r.load(ctx, s)
+	for _, old := range slices.Sorted(maps.Keys(s.retirements)) {
+		t := s.retirements[old]
+		if !t.IsRunning() {
+			continue
+		}
+		if s.duty.Holder != r.seat.Holder() {
+			r.advance(ctx, s, AdvanceOrder{}) // from here on the holder before us writes nothing
+			return
+		}
+		isClear := r.isClear(s.version)
+		switch t.Phase {
+		case blueprint.Dropping:
+			r.drop(ctx, s, t.Old)
+		case blueprint.Undoing:
+			if isClear && !s.isNeeded(t.New) {
+				r.drop(ctx, s, t.New)
+			}
+		}
+		if next, isChanged, waits := s.step(t, isClear, r.core.wall()); isChanged {
+			r.advance(ctx, s, AdvanceOrder{Old: old, To: next})
+			return // the next step looks at what stands then
+		} else if strings.Contains(waits, "trial answer was wrong") {
+			r.core.place.Log.Warn().Str("event", "retirement_stopped").Str("old", old).Str("waits_for", waits).Msg("")
+		}
+	}
+}
+
+// isClear says whether the present version has stood for so long, settled, that no proxy acts on an older one.
+func (r *retirer) isClear(version uint64) bool {
+	since, isKnown := r.since[version]
+	if !isKnown {
+		since = time.Now()
+		r.since = map[uint64]time.Time{version: since}
+	}
+	return time.Since(since) > clearTime
+}
+
+// advance writes a step, under our term and upon the version that it was worked out from.
+func (r *retirer) advance(ctx context.Context, s *survey, o AdvanceOrder) {
+	number, isOurs := r.seat.Holds()
+	if !isOurs {
+		return
+	}
+	o.Expect, o.Duty = s.version, blueprint.Duty{Holder: r.seat.Holder(), Term: number}
+	a, err := link.Call[Accepted](ctx, r.core.wire, r.core.place.Address, "/op/advance", o)
+	if err == nil {
+		r.least = a.Version
+	}
+	made := r.core.place.Log.Info().Str("event", "retirement").Str("old", o.Old).Uint64("version", a.Version).Uint64("term", number).AnErr("failure", err)
+	if o.To != nil {
+		made = made.Str("phase", string(o.To.Phase)).Interface("moves", o.To.Moves)
+	}
+	made.Msg("")
+}
+
+// load gives each replica its next order; at most a third of a pool loads at a time.
+func (r *retirer) load(ctx context.Context, s *survey) {
+	var orders sync.WaitGroup
+	for _, names := range s.pools {
+		room := max(1, len(names)/3)
+		for _, name := range names {
+			if isLoading(s.said[name]) {
+				room--
+			}
+		}
+		for _, name := range names {
+			order, _ := s.lacks(name)
+			switch order.Do {
+			case "":
+				continue
+			case router.LoadBase, router.LoadAdapter:
+				if room--; room < 0 {
+					continue
+				}
+			}
+			orders.Go(func() { r.order(ctx, s.replicas[name], order) })
+		}
+	}
+	orders.Wait()
+}
+
+// drop has replicas drop a base; one on which work runs refuses, and is asked again.
+func (r *retirer) drop(ctx context.Context, s *survey, base string) {
+	var orders sync.WaitGroup
+	for pool := range s.pools {
+		for _, name := range s.drops(pool, base) {
+			order := router.AdapterOrder{Upon: blueprint.Upon{Base: base}, Do: router.DropBase}
+			orders.Go(func() { r.order(ctx, s.replicas[name], order) })
+		}
+	}
+	orders.Wait()
+}
+
+// order sends an order under our term, if it is still ours.
+func (r *retirer) order(ctx context.Context, replica blueprint.Replica, o router.AdapterOrder) {
+	number, isOurs := r.seat.Holds()
+	if !isOurs {
+		return
+	}
+	o.Term = number
+	err := postJSON(ctx, r.core.plain, replica.Address+router.AdapterPath, o)
+	r.core.place.Log.Info().Str("event", "adapter_order").Str("replica", replica.Name).Str("do", o.Do).Str("base", o.Base).Str("adapter", o.Adapter).
+		Str("build", o.Build).Uint64("term", number).AnErr("failure", err).Msg("")
+}
--- a/router/adapter.go
+++ b/router/adapter.go
@@ -121,3 +121,6 @@
 	LoadAdapter = "load adapter"
 	TryAdapter  = "try adapter" // the replica answers a trial prompt with it
 )
+
+// SendTime is W + A: a request whose last look was so long ago is with its replica, or never will be (§3.2).
+const SendTime = writeLimit + ackLimit
