--- a/daemon/retire.go
+++ b/daemon/retire.go
@@ -22,7 +22,6 @@
 	retireStep = 400 * time.Millisecond
 	// clearTime is T + U + W + A: a route switched so long ago leads no request to the old base any more (§3.2).
 	clearTime = freshTerm + undecidedTerm + router.SendTime
-	leastLive = 2 // replicas of a pool that have answered callers from the moved adapter, where there are so many
 )
 
 // RetirementOrder begins a retirement, or takes one back.
@@ -296,11 +295,12 @@
 				}
 			}
 		}
-		if next.Phase == "" && 2*tried <= all {
-			return next, fmt.Sprintf("trial answers in pool %s: %d of %d replicas, more than half are needed", pool, tried, all)
+		what, count := "trial", tried
+		if next.Phase == blueprint.Switched {
+			what, count = "live", live
 		}
-		if next.Phase == blueprint.Switched && live < min(leastLive, all) {
-			return next, fmt.Sprintf("live answers in pool %s: from %d of %d replicas, %d are needed", pool, live, all, leastLive)
+		if 2*count <= all {
+			return next, fmt.Sprintf("%s answers in pool %s: from %d of %d replicas, more than half are needed", what, pool, count, all)
 		}
 	}
 	if next.Phase == "" {
--- a/router/adapter.go
+++ b/router/adapter.go
@@ -79,6 +79,15 @@
 	return on, on.Build != "" && has.Build == on.Build && has.State == AdapterTried
 }
 
+// firstGain has a replica drawn first that has not answered a caller from the adapter yet: whether it does is soon known everywhere, though
+// kept prompts would lead all callers to a few.
+func firstGain(rep *replica, on blueprint.Upon) float64 {
+	if on.Adapter != "" && rep.report.Load().Adapters[on.Key()].Live == 0 {
+		return oldCost
+	}
+	return 0
+}
+
 // domainOf adds the base and the adapter to what separates kept prompts (§6.3).
 func domainOf(weights string, on blueprint.Upon) string {
 	if on.Adapter == "" {
--- a/router/pool.go
+++ b/router/pool.go
@@ -99,7 +99,7 @@
 			homes[domain] = register.Draw(x.anchor(domain), p.names)
 		}
 		work, source := r.work(x, v, p, rep, kept)
-		cost := r.cost(rep, work, now)
+		cost := r.cost(rep, work, now) - firstGain(rep, on)
 		if x.Prompt.Parts != nil && rep.Zone != r.options.Zone {
 			cost += zoneCost
 		}
--- a/sim/retire_test.go
+++ b/sim/retire_test.go
@@ -1,17 +1,22 @@
 package sim
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"asterridge/blueprint"
 	"asterridge/daemon"
 	"asterridge/fail"
+	"asterridge/router"
 	"asterridge/standin"
 )
 
@@ -40,9 +45,12 @@
 	return o
 }
 
-// retired gives the rows about retirements from the first core that answers, by kind and name.
+// retired gives the rows about retirements from the first core that answers soon, by kind and name.
 func (f *Fleet) retired() map[string]map[string]any {
 	for _, core := range f.cores() {
+		if f.Net.isLost(CoreIP(core)) {
+			continue // it would answer late, or what it knew
+		}
 		if a, err := f.Query(core, "retirement"); err == nil && len(a.Rows) > 0 {
 			all := map[string]map[string]any{}
 			for _, row := range a.Rows {
@@ -181,3 +189,327 @@
 		})
 	}
 }
+
+// What cannot be done is refused at once, with its code; until the first drop there is a way back.
+func TestRetirementsAreCheckedAndUndone(t *testing.T) {
+	t.Parallel()
+	inBubble(t, adapterOptions(710), func(is *is.I, f *Fleet) {
+		f.adaptersReady()
+		refused := func(o daemon.RetirementOrder, code fail.Code) {
+			is.Helper()
+			_, err := f.retirement(o)
+			is.Equal(fail.Of(err).Code, code)
+		}
+		refused(retire("ridge-1", "ridge-2"), fail.NoBuild) // of notes
+		refused(retire("ridge-0", "ridge-2"), fail.NotFound)
+		refused(undo, fail.NotFound)
+		_, err := f.merge(`{"adapters":[{"name":"huts","base":"ridge-2"}]}`)
+		is.Equal(fail.Of(err).Code, fail.Conflict) // a retirement moves it
+		_, err = f.merge(`{"adapters":[{"name":"huts","builds":{"ridge-1":"h9"}}]}`)
+		is.Equal(fail.Of(err).Code, fail.Conflict)
+		_, code, _ := f.Ask(0, "c", "", chat("notes"))
+		is.Equal(code, "230") // not for this tenant
+
+		must(f.merge(notesBuild))
+		defer f.watchRoutes()()
+		must(f.retirement(retire("ridge-1", "ridge-2")))
+		refused(retire("ridge-1", "ridge-3"), fail.Crossed)
+		refused(retire("ridge-2", "ridge-3"), fail.Crossed)
+		f.Until(20*time.Second, "all routes have switched", func() bool {
+			rows, n := f.retired(), 0
+			for _, row := range rows {
+				if row["kind"] == "route" && row["base"] == "ridge-2" {
+					n++
+				}
+			}
+			return n == 3
+		})
+		time.Sleep(10 * time.Second)
+		is.Equal(f.phase("ridge-1"), "moving") // without live answers nothing is dropped
+		is.Equal(f.retired()["adapter huts"]["phase"], "switched")
+		for i, kind := range adapterKinds[:3] {
+			for range 2 * i { // closures is asked nothing: not every adapter has answered
+				status, _, _ := f.Ask(0, "a", "", chat(kind.Name))
+				is.Equal(status, 200)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		is.Equal(f.phase("ridge-1"), "moving")
+		must(f.retirement(undo))
+		f.Until(20*time.Second, "nothing is left of the retirement", func() bool {
+			rows := f.retired()
+			for _, row := range rows {
+				if row["kind"] == "replica" && row["bases"] != "ridge-1" {
+					return false
+				}
+			}
+			return rows["route huts"]["base"] == "ridge-1" && rows["retirement ridge-1"] == nil
+		})
+		for _, kind := range adapterKinds[:3] {
+			status, _, _ := f.Ask(1, "a", "", chat(kind.Name))
+			is.Equal(status, 200)
+		}
+		must(f.retirement(retire("ridge-1", "ridge-2")))
+		f.during(0, 1, 1, func() {
+			for f.phase("ridge-1") != "retired" {
+				for i, kind := range adapterKinds[:3] {
+					f.Ask(i, "a", "", chat(kind.Name))
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+		refused(undo, fail.PastUndo)
+		refused(daemon.RetirementOrder{Do: "undo", Old: "ridge-1"}, fail.PastUndo)
+		refused(retire("ridge-2", "ridge-1"), fail.Crossed) // it is gone
+		noBreach(is, f)
+	})
+}
+
+// A build that answers its trial wrongly stops its adapter there; the old one goes on serving, until another build is declared.
+func TestBadBuildStopsThereAndTheOldGoesOn(t *testing.T) {
+	t.Parallel()
+	inAdapterBubble(t, 720, 900, func(is *is.I, f *Fleet) {
+		f.behave(standin.Behaviour{BadBuild: "h2"})
+		must(f.retirement(retire("ridge-1", "ridge-2")))
+		f.Until(20*time.Second, "it tells", func() bool {
+			waits := fmt.Sprint(f.retired()["adapter huts"]["waits_for"])
+			return strings.Contains(waits, "another build than h2")
+		})
+		time.Sleep(5 * time.Second)
+		is.Equal(f.phase("ridge-1"), "moving")
+		is.Equal(f.retired()["route huts"]["base"], "ridge-1")
+		must(f.merge(`{"adapters":[{"name":"huts","builds":{"ridge-2":"h3"}}]}`))
+		f.untilPhase(25*time.Second, "ridge-1", "retired")
+	}, func(is *is.I, f *Fleet, all []standin.Asked) {
+		is.Equal(whole(all), len(all))
+		for _, r := range f.Ledgers.Runs {
+			is.True(r.Build != "h2")
+		}
+		movedWhole(is, f)
+	})
+}
+
+// holder is the core that has the duty, by its place; -1: nobody.
+func (f *Fleet) holder() int {
+	for _, row := range f.retired() {
+		var n int
+		if _, err := fmt.Sscanf(fmt.Sprint(row["holder"]), "core-%d.", &n); err == nil {
+			return n - 1
+		}
+	}
+	return -1
+}
+
+// The holder is killed, cut off, or frozen past its term and woken, at each step in turn: the next goes on where it stood.
+func TestHolderLostAtEachStep(t *testing.T) {
+	t.Parallel()
+	lose := []struct {
+		how string
+		do  func(f *Fleet, core int) (back func())
+	}{
+		{"killed", func(f *Fleet, core int) func() {
+			f.Kill(CoreIP(core))
+			return func() { f.StartCore(core) }
+		}},
+		{"cut off", func(f *Fleet, core int) func() {
+			f.Net.Part([]string{CoreIP(core)}, f.others(CoreIP(core)), true)
+			return func() { f.Net.Part([]string{CoreIP(core)}, f.others(CoreIP(core)), false) }
+		}},
+		{"frozen", func(f *Fleet, core int) func() {
+			f.Net.Freeze(CoreIP(core), true)
+			return func() { f.Net.Freeze(CoreIP(core), false) }
+		}},
+	}
+	steps := []struct {
+		name string
+		isAt func(f *Fleet) bool
+	}{
+		{"base loads", func(f *Fleet) bool { return f.anyReplica("bases", "ridge-1 ridge-2") }},
+		{"adapters load", func(f *Fleet) bool { return f.anyReplica("adapters", "@ridge-2") }},
+		{"first switched", func(f *Fleet) bool { return f.retired()["route closures"]["base"] == "ridge-2" }},
+		{"all live", func(f *Fleet) bool { return f.phase("ridge-1") == "clearing" }},
+		{"first drop", func(f *Fleet) bool { return f.phase("ridge-1") == "dropping" }},
+	}
+	for i, lost := range lose {
+		for j, step := range steps {
+			t.Run(lost.how+", "+step.name, func(t *testing.T) {
+				t.Parallel()
+				inAdapterBubble(t, uint64(730+10*i+j), 900, func(is *is.I, f *Fleet) {
+					must(f.retirement(retire("ridge-1", "ridge-2")))
+					f.Until(20*time.Second, step.name, func() bool { return f.holder() >= 0 && step.isAt(f) })
+					first := f.holder()
+					back := lost.do(f, first)
+					f.Until(15*time.Second, "another has the duty, or it is done", func() bool {
+						now := f.holder()
+						return now >= 0 && now != first || f.phase("ridge-1") == "retired"
+					})
+					time.Sleep(time.Second)
+					back()
+					f.untilPhase(25*time.Second, "ridge-1", "retired")
+				}, func(is *is.I, f *Fleet, all []standin.Asked) {
+					is.True(whole(all) >= len(all)*98/100)
+					movedWhole(is, f)
+				})
+			})
+		}
+	}
+}
+
+// others are all machines but one.
+func (f *Fleet) others(ip string) (all []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for host := range f.kills {
+		if host != ip {
+			all = append(all, host)
+		}
+	}
+	return append(all, CallerIP)
+}
+
+// isLost says whether a machine is frozen, or cut off from the callers.
+func (n *Network) isLost(ip string) bool {
+	n.mu.Lock()
+	isFrozen := n.frozen[ip]
+	n.mu.Unlock()
+	isCut, _, _ := n.isCut(CallerIP, ip)
+	return isFrozen || isCut
+}
+
+func (f *Fleet) anyReplica(column, part string) bool {
+	for _, row := range f.retired() {
+		if row["kind"] == "replica" && strings.Contains(fmt.Sprint(row[column]), part) {
+			return true
+		}
+	}
+	return false
+}
+
+// A replica dies while it loads and stays away, one is replaced by an empty one, one comes anew, and one leaves: the move goes on with those
+// that there are.
+func TestReplicasComeAndGoDuringAMove(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			inAdapterBubble(t, 770+seed, 1000, func(is *is.I, f *Fleet) {
+				told := func(i int, state string) {
+					must(f.Order(1, "replicas", daemon.ReplicasOrder{Text: json.RawMessage(`{"replicas":[` + f.told(i, state) + `]}`)}))
+				}
+				must(f.retirement(retire("ridge-1", "ridge-2")))
+				f.Until(10*time.Second, "a base loads", func() bool { return f.anyReplica("bases", "ridge-1 ridge-2") })
+				f.Kill(ReplicaIP(0)) // the first in turn
+				f.StartReplica(4)
+				told(4, "present")
+				f.Until(20*time.Second, "a route has switched", func() bool { return f.retired()["route closures"]["base"] == "ridge-2" })
+				f.StartReplica(1) // an empty one in its place
+				time.Sleep(time.Duration(seed) * time.Second)
+				told(0, "gone")
+				told(2, "leaving")
+				f.untilPhase(30*time.Second, "ridge-1", "retired")
+			}, func(is *is.I, f *Fleet, all []standin.Asked) {
+				is.True(whole(all) >= len(all)*97/100)
+				is.Equal(f.retired()["replica pool-5"]["bases"], "ridge-2")
+				is.Equal(f.retired()["replica pool-2"]["bases"], "ridge-2")
+				movedWhole(is, f)
+			})
+		})
+	}
+}
+
+// Two operators order at once at different cores: one of crossing retirements stands, and undo and retire leave one state for all.
+func TestOperatorsRaceOverARetirement(t *testing.T) {
+	t.Parallel()
+	inAdapterBubble(t, 780, 900, func(is *is.I, f *Fleet) {
+		must(f.merge(`{"adapters":[{"name":"closures","builds":{"ridge-3":"c3"}},{"name":"huts","builds":{"ridge-3":"h3"}},{"name":"notes","builds":{"ridge-3":"n3"}}]}`))
+		var both sync.WaitGroup
+		errs := make([]error, 2)
+		for i, to := range []string{"ridge-2", "ridge-3"} {
+			both.Go(func() { _, errs[i] = f.Order(2*i, "retirement", retire("ridge-1", to)) })
+		}
+		both.Wait()
+		is.True((errs[0] == nil) != (errs[1] == nil))
+		for _, err := range errs {
+			is.True(err == nil || fail.Is(err, fail.Crossed))
+		}
+		time.Sleep(2 * time.Second)
+		for i := range 2 { // one takes it back while the other begins it again
+			both.Go(func() {
+				order := []daemon.RetirementOrder{undo, retire("ridge-1", "ridge-2")}[i]
+				for range 5 {
+					_, _ = f.Order(1+i, "retirement", order)
+					time.Sleep(300 * time.Millisecond)
+				}
+			})
+		}
+		both.Wait()
+		f.Until(20*time.Second, "ridge-1 is retired for ridge-2, or about to be", func() bool {
+			row := f.retired()["retirement ridge-1"]
+			if row == nil {
+				_, _ = f.retirement(retire("ridge-1", "ridge-2"))
+			}
+			return row["base"] == "ridge-2" && row["phase"] != "undoing"
+		})
+		f.untilPhase(30*time.Second, "ridge-1", "retired")
+	}, func(is *is.I, f *Fleet, all []standin.Asked) {
+		is.Equal(whole(all), len(all))
+		movedWhole(is, f)
+	})
+}
+
+// All daemons are killed at once while routes switch, or while the old base is dropped: what stood on the disks goes on.
+func TestAllKilledDuringAMove(t *testing.T) {
+	t.Parallel()
+	for i, phase := range []string{"switched", "clearing", "dropping"} {
+		t.Run(phase, func(t *testing.T) {
+			t.Parallel()
+			inAdapterBubble(t, uint64(790+i), 1000, func(is *is.I, f *Fleet) {
+				must(f.retirement(retire("ridge-1", "ridge-2")))
+				f.Until(25*time.Second, phase, func() bool {
+					return f.phase("ridge-1") == phase || phase == "switched" && f.retired()["route closures"]["base"] == "ridge-2"
+				})
+				before := f.retired()["retirement ridge-1"]["number"]
+				for core := range 4 {
+					f.Kill(CoreIP(core))
+				}
+				for i := range f.Proxies {
+					f.Kill(ProxyIP(i))
+				}
+				time.Sleep(time.Second)
+				for core := range 4 {
+					f.StartCore(core)
+				}
+				for i := range f.Proxies {
+					f.StartPair(i)
+				}
+				f.Until(12*time.Second, "all are ready", f.AreReady)
+				is.Equal(f.retired()["retirement ridge-1"]["number"], before) // the same one, where it stood
+				f.untilPhase(30*time.Second, "ridge-1", "retired")
+			}, func(is *is.I, f *Fleet, all []standin.Asked) {
+				is.True(whole(all) >= len(all)*80/100)
+				movedWhole(is, f)
+			})
+		})
+	}
+}
+
+// Orders under an older term are refused: by the register, and by the replicas.
+func TestLateOrdersOfAnOlderTermAreRefused(t *testing.T) {
+	t.Parallel()
+	inAdapterBubble(t, 800, 200, func(is *is.I, f *Fleet) {
+		must(f.retirement(retire("ridge-1", "ridge-2")))
+		f.Until(15*time.Second, "the duty is taken up", func() bool { return f.holder() >= 0 })
+		late := router.AdapterOrder{Upon: blueprint.Upon{Base: "ridge-1"}, Do: router.DropBase}
+		raw := must(json.Marshal(late))
+		answer := must(f.Client.Post("http://"+At(ReplicaIP(0))+router.AdapterPath, "application/json", bytes.NewReader(raw)))
+		_ = answer.Body.Close()
+		is.Equal(answer.StatusCode, http.StatusConflict)
+		is.True(strings.Contains(fmt.Sprint(f.retired()["replica pool-1"]["bases"]), "ridge-1"))
+		dropped := blueprint.Retirement{Number: 1, Old: "ridge-1", New: "ridge-2", Phase: blueprint.Dropping}
+		for version := range uint64(40) { // whatever version it saw
+			_, err := f.Order(0, "advance", daemon.AdvanceOrder{Old: "ridge-1", To: &dropped, Expect: version, Duty: blueprint.Duty{Holder: "core-9", Term: 0}})
+			is.True(fail.Is(err, fail.Superseded))
+		}
+		is.Equal(f.phase("ridge-1"), "moving")
+	}, func(is *is.I, f *Fleet, _ []standin.Asked) { noBreach(is, f) })
+}
--- a/standin/diary.go
+++ b/standin/diary.go
@@ -113,7 +113,13 @@
 		}
 	case "retirement": // its register is the duty's from there on: rule 11 asks only that all hold the same
 		if o.Do == "undo" {
-			more(Undone, o.Old, "")
+			old := o.Old
+			for _, f := range d.Facts() {
+				if o.Old == "" && f.Kind == Retire {
+					old = f.Name // an undo that names none means the one that runs
+				}
+			}
+			more(Undone, old, "")
 		} else {
 			more(Retire, o.Old, o.New)
 		}
