--- a/sim/retire_test.go
+++ b/sim/retire_test.go
@@ -483,6 +483,7 @@
 					f.StartPair(i)
 				}
 				f.Until(12*time.Second, "all are ready", f.AreReady)
+				f.Until(5*time.Second, "what is on the disks is settled again", func() bool { return f.phase("ridge-1") != "" })
 				is.Equal(f.retired()["retirement ridge-1"]["number"], before) // the same one, where it stood
 				f.untilPhase(30*time.Second, "ridge-1", "retired")
 			}, func(is *is.I, f *Fleet, all []standin.Asked) {
