--- /dev/null
+++ b/blueprint/adapter_test.go
@@ -0,0 +1,89 @@
+package blueprint
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"asterridge/fail"
+)
+
+const withAdapters = `{"tenants":[{"name":"t"}],"pools":[{"name":"p","weights":"w1"},{"name":"web","kind":"web"}],
+ "adapters":[{"name":"a","base":"m1","builds":{"m1":"a1","m2":"a2","m3":"a3"}},{"name":"b","base":"m2","builds":{"m2":"b2","m3":"b3"}}],
+ "paths":[{"name":"x","address":"/x","pool":"p","adapter":"a"},{"name":"y","address":"/y","pool":"p","adapter":"b"}]}`
+
+func TestAdaptersAreCheckedWithTheBlueprint(t *testing.T) {
+	is := is.New(t)
+	present, err := Read([]byte(withAdapters), nil, false)
+	is.NoErr(err)
+	again, err := FromFields(present.Fields())
+	is.NoErr(err)
+	is.Equal(again, present)
+	for text, code := range map[string]fail.Code{
+		`{"adapters":[{"name":"c"}]}`:                                         fail.Missing,
+		`{"adapters":[{"name":"c","base":7}]}`:                                fail.WrongType,
+		`{"adapters":[{"name":"c","base":"m1","size":1}]}`:                    fail.UnknownField,
+		`{"adapters":[{"name":"c","base":"m1","builds":{"m1":1}}]}`:           fail.WrongType,
+		`{"adapters":[{"name":"c","base":"m1","tenants":["nobody"]}]}`:        fail.Dangling,
+		`{"paths":[{"name":"z","address":"/z","pool":"p","adapter":"none"}]}`: fail.Dangling,
+		`{"paths":[{"name":"z","address":"/z","pool":"web","adapter":"a"}]}`:  fail.Dangling,
+		`{"remove":{"adapters":["a"]}}`:                                       fail.Dangling, // path x asks for it
+		`{"remove":{"adapters":["none"]}}`:                                    fail.Dangling,
+		`{"adapters":[{"name":"c","base":"m1","base":"m2"}]}`:                 fail.RepeatField,
+	} {
+		_, err := Read([]byte(text), present, true)
+		if !fail.Is(err, code) {
+			t.Errorf("%s: %v, wanted %d", text, err, code.Number)
+		}
+	}
+	more, err := Read([]byte(`{"adapters":[{"name":"a","builds":{"m4":"a4"}}]}`), present, true)
+	is.NoErr(err)
+	is.Equal(more.Adapters["a"].Builds, map[string]string{"m1": "a1", "m2": "a2", "m3": "a3", "m4": "a4"})
+	is.Equal(len(present.Adapters["a"].Builds), 3) // the present one is not touched
+	is.NoErr(more.KeepBases(present))
+	for _, text := range []string{`{"adapters":[{"name":"a","base":"m2"}]}`, `{"adapters":[{"name":"a","builds":{"m1":"a9"}}]}`} {
+		moved, err := Read([]byte(text), present, true)
+		is.NoErr(err)
+		is.True(fail.Is(moved.KeepBases(present), fail.Conflict))
+	}
+}
+
+// A route follows the retirements that have led its adapter on, and those alone.
+func TestRoutesFollowRetirements(t *testing.T) {
+	is := is.New(t)
+	plan, err := Read([]byte(withAdapters), nil, false)
+	is.NoErr(err)
+	a, b := plan.Adapters["a"], plan.Adapters["b"]
+	all := Retirements{}
+	on := func(x Adapter) string { base, build := all.Route(x); return base + " " + build }
+	is.Equal(on(a), "m1 a1")
+	all["m1"] = Retirement{Old: "m1", New: "m2", Phase: Moving}
+	is.Equal(on(a), "m1 a1")
+	is.True(!all.IsOn(b, "m1"))
+	is.Equal(plan.Needs(all)["p"], []Upon{{"a", "m1", "a1"}, {"a", "m2", "a2"}, {"b", "m2", "b2"}})
+	switched := all["m1"].With(Moving, "a", Move{Phase: Switched, Build: "a2"})
+	is.Equal(len(all["m1"].Moves), 0) // what was there is not touched
+	all["m1"] = switched
+	is.Equal(on(a), "m2 a2")
+	is.Equal(plan.Needs(all)["p"], []Upon{{"a", "m2", "a2"}, {"a", "m1", "a1"}, {"b", "m2", "b2"}}) // the way back stays open
+	all["m1"] = switched.With(Undoing, "", Move{})
+	is.Equal(on(a), "m1 a1")
+	is.Equal(plan.Needs(all)["p"], []Upon{{"a", "m1", "a1"}, {"b", "m2", "b2"}})
+	all["m1"] = switched.With(Dropping, "", Move{})
+	is.Equal(plan.Needs(all)["p"], []Upon{{"a", "m2", "a2"}, {"b", "m2", "b2"}})
+	is.Equal(on(Adapter{Name: "new", Base: "m1", Builds: map[string]string{"m1": "n1", "m2": "n2"}}), "m2 n2") // declared since
+	all["m1"] = switched.With(Retired, "", Move{})
+	all["m2"] = Retirement{Old: "m2", New: "m3", Phase: Moving}
+	is.Equal(on(a), "m2 a2")
+	is.True(all.IsOn(a, "m2") && all.IsOn(b, "m2"))
+	all["m2"] = all["m2"].With(Moving, "a", Move{Phase: Live, Build: "a3"})
+	is.Equal(on(a), "m3 a3")
+	is.Equal(on(b), "m2 b2")
+	is.Equal(plan.Needs(all)["p"], []Upon{{"a", "m3", "a3"}, {"a", "m2", "a2"}, {"b", "m2", "b2"}, {"b", "m3", "b3"}})
+	for _, crossing := range []string{"m2", "m3"} {
+		_, isCrossed := all.Crossing(crossing)
+		is.True(isCrossed)
+	}
+	_, isCrossed := all.Crossing("m1", "m9") // m1's is done
+	is.True(!isCrossed)
+}
--- a/daemon/retire.go
+++ b/daemon/retire.go
@@ -378,6 +378,7 @@
 }
 
 // drops lists the replicas of a pool that may be told to drop a base now: at most a third, and only those that have all they need beside it.
+// Those on which work runs would refuse, and come last.
 func (s *survey) drops(pool, base string) (names []string) {
 	for _, name := range s.pools[pool] {
 		if _, isThere := s.said[name].Bases[base]; !isThere {
@@ -387,6 +388,7 @@
 			names = append(names, name)
 		}
 	}
+	slices.SortStableFunc(names, func(a, b string) int { return s.said[a].Bases[base].Running - s.said[b].Bases[base].Running })
 	return names[:min(len(names), max(1, len(s.pools[pool])/3))]
 }
 
--- a/daemon/retirer.go
+++ b/daemon/retirer.go
@@ -10,6 +10,7 @@
 
 	"asterridge/blueprint"
 	"asterridge/link"
+	"asterridge/register"
 	"asterridge/router"
 	"asterridge/term"
 )
@@ -24,16 +25,14 @@
 
 func (c *Core) runRetirements(ctx context.Context) {
 	r := &retirer{core: c, seat: c.newSeat("retirement"), since: map[uint64]time.Time{}}
-	isWanted := func() bool {
-		for field := range c.keeper.Read(blueprint.Key).Fields {
-			if strings.HasPrefix(field, "adapter/") {
-				return c.council().self != nil
-			}
-		}
-		return false
-	}
+	var seen register.Stamp
+	hasAdapters := false
 	go every(ctx, termLength/5, func() {
-		if isWanted() {
+		if stamp := c.keeper.Stamp(blueprint.Key); stamp != seen {
+			plan, err := blueprint.FromFields(c.keeper.Read(blueprint.Key).Fields)
+			seen, hasAdapters = stamp, err == nil && len(plan.Adapters) > 0
+		}
+		if hasAdapters && c.council().self != nil { // a fleet without adapters has no such term
 			r.seat.Step(ctx)
 		}
 	})
--- a/router/adapter.go
+++ b/router/adapter.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 
@@ -79,6 +80,19 @@
 	return on, on.Build != "" && has.Build == on.Build && has.State == AdapterTried
 }
 
+// isUponGone says whether a refusal's ground is a base or adapter that the replica has not.
+func isUponGone(reason string) bool { return reason == "base_gone" || reason == "adapter_gone" }
+
+// forgetUpon takes a replica at its word, until its next report, that it has not what a request was to run on.
+func (x *Exchange) forgetUpon() {
+	if said := x.replica.report.Load(); said != nil {
+		less := *said
+		less.Adapters = maps.Clone(said.Adapters)
+		delete(less.Adapters, x.upon.Key())
+		x.replica.report.Store(&less)
+	}
+}
+
 // firstGain has a replica drawn first that has not answered a caller from the adapter yet: whether it does is soon known everywhere, though
 // kept prompts would lead all callers to a few.
 func firstGain(rep *replica, on blueprint.Upon) float64 {
--- a/router/send.go
+++ b/router/send.go
@@ -246,6 +246,9 @@
 	if v.IsMoved {
 		r.cool(x.replica)
 	}
+	if isUponGone(v.Reason) {
+		x.forgetUpon()
+	}
 	if v.IsFull {
 		r.borrow.learn(true)
 	}
--- a/sim/retire_test.go
+++ b/sim/retire_test.go
@@ -514,3 +514,69 @@
 		is.Equal(f.phase("ridge-1"), "moving")
 	}, func(is *is.I, f *Fleet, _ []standin.Asked) { noBreach(is, f) })
 }
+
+// A stream that runs on the old base ends there: its replica refuses the drop until then, the others drop.
+func TestLongStreamHoldsBackItsReplicasDrop(t *testing.T) {
+	t.Parallel()
+	inAdapterBubble(t, 810, 900, func(is *is.I, f *Fleet) {
+		var long sync.WaitGroup
+		long.Go(func() {
+			status, _, text := f.Ask(0, "a", "", strings.Replace(chat("notes"), `"max_tokens":2`, `"max_tokens":6000`, 1)) // 30 s
+			is.Equal(status, 200)
+			is.True(strings.HasSuffix(text, "data: [DONE]\n\n"))
+		})
+		time.Sleep(500 * time.Millisecond)
+		must(f.retirement(retire("ridge-1", "ridge-2")))
+		f.untilPhase(25*time.Second, "ridge-1", "dropping")
+		onOld := func() (n int) {
+			for _, row := range f.retired() {
+				if row["kind"] == "replica" && strings.Contains(fmt.Sprint(row["bases"]), "ridge-1") {
+					n++
+				}
+			}
+			return n
+		}
+		f.Until(10*time.Second, "the others have dropped it", func() bool { return onOld() == 1 })
+		time.Sleep(2 * time.Second)
+		is.Equal(onOld(), 1)
+		is.Equal(f.phase("ridge-1"), "dropping")
+		long.Wait()
+		f.untilPhase(5*time.Second, "ridge-1", "retired")
+	}, func(is *is.I, f *Fleet, all []standin.Asked) {
+		is.Equal(whole(all), len(all))
+		movedWhole(is, f)
+	})
+}
+
+// A keyed request that meets replicas which have lost base and adapter was not run: it goes back with its key, and is answered once.
+func TestRequestRefusedForALostBaseGoesBackWithItsKey(t *testing.T) {
+	t.Parallel()
+	inBubble(t, adapterOptions(820), func(is *is.I, f *Fleet) {
+		f.adaptersReady()
+		for range 50 { // second shots are saved up
+			f.Ask(0, "a", "", chat("huts"))
+		}
+		before := len(f.Ledgers.Runs)
+		for i := range 4 {
+			f.StartReplica(i)
+		}
+		status, code, text := f.Ask(0, "a", "once", chat("huts"))
+		is.Equal(code+text[:min(len(text), 5)], "data:") // no code, and a stream
+		is.Equal(status, 200)
+		ran, refused := 0, 0
+		for _, r := range standin.LastOfEach(f.Ledgers.Runs[before:]) {
+			switch {
+			case r.HasRun && r.Key == "a:once":
+				ran++
+			case r.Why == "base_gone" && r.Key == "a:once":
+				refused++
+			}
+		}
+		is.Equal(ran, 1)
+		is.True(refused > 0)
+		status, code, _ = f.Ask(1, "a", "once", chat("huts"))
+		is.Equal(status, 409)
+		is.Equal(code, "224") // it ran
+		noBreach(is, f)
+	})
+}
