--- a/cmd/fleet/retire.go
+++ b/cmd/fleet/retire.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"asterridge/daemon"
@@ -32,6 +33,39 @@
 
 // retire moves three adapters to another base under their own callers, and has the old base dropped everywhere.
 func retire(ctx context.Context, f *fleet) error {
+	return move(ctx, f, func(*watch) error { return nil })
+}
+
+// retireKill kills the core that has the duty as soon as the first route has switched, and the next one at the first drop.
+func retireKill(ctx context.Context, f *fleet) error {
+	return move(ctx, f, func(w *watch) error {
+		for _, step := range []struct{ kind, column, value string }{{"adapter", "phase", "switched"}, {"retirement", "phase", "dropping"}} {
+			holder := ""
+			err := eventually(ctx, 60*time.Second, "it is "+step.value, func() bool {
+				isAt := w.count(step.kind, step.column, step.value) > 0
+				holder, _, _ = strings.Cut(w.holder, ".")
+				return isAt && holder != ""
+			})
+			if err != nil {
+				return err
+			}
+			w.say("%s has the duty: it is killed", holder)
+			if err := f.end(syscall.SIGKILL, holder); err != nil {
+				return err
+			}
+			after(ctx, 4*time.Second)
+			if err := f.again(holder); err != nil {
+				return err
+			}
+			if err := eventually(ctx, 15*time.Second, holder+" is ready again", f.isFounded); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func move(ctx context.Context, f *fleet, disturb func(w *watch) error) error {
 	if _, err := f.order(ctx, "blueprint", daemon.BlueprintOrder{Text: []byte(adapters), IsPartial: true}); err != nil {
 		return err
 	}
@@ -56,6 +90,9 @@
 		return err
 	}
 	w.say("retire model ridge-1 for ridge-2: accepted")
+	if err := disturb(w); err != nil {
+		return err
+	}
 	err := eventually(ctx, 120*time.Second, "ridge-1 is retired", func() bool { return w.count("retirement", "phase", "retired") == 1 })
 	if err != nil {
 		return err
@@ -79,6 +116,8 @@
 	fleet *fleet
 	began time.Time
 	shown map[string]string
+
+	holder string // of the duty, as last seen
 }
 
 func (w *watch) say(format string, args ...any) {
@@ -96,6 +135,8 @@
 		switch row["kind"] {
 		case "replica":
 			continue
+		case "retirement":
+			w.holder = fmt.Sprint(row["holder"])
 		case "route":
 			line = fmt.Sprintf("route of %s: %s, build %s", name, row["base"], row["build"])
 		}
--- a/cmd/fleet/scripts.go
+++ b/cmd/fleet/scripts.go
@@ -21,6 +21,7 @@
 	{"large", "a blueprint of 5000 tenants is accepted, then small changes upon it", large},
 	{"weights", "new weights are accepted for both pools and roll over the replicas", weights},
 	{"retire", "three adapters are moved to another base model, and the old one is dropped everywhere", retire},
+	{"retire-kill", "… while the core that carries it out is killed twice", retireKill},
 	{"revoke", "a tenant's key is revoked, and a replica leaves", revoke},
 	{"kill", "a core is killed while changes go on, and comes back", killCore},
 	{"kill-all", "all cores, agents and proxies are killed at once and started again", killAll},
--- a/daemon/retire.go
+++ b/daemon/retire.go
@@ -44,6 +44,9 @@
 		var t blueprint.Retirement
 		switch o.Do {
 		case "retire":
+			if before, isThere := all[o.Old]; isThere && before.New == o.New && !before.IsPast() && before.Phase != blueprint.Undoing {
+				return nil, nil // it was asked for before, perhaps without an answer
+			}
 			if err := mayRetire(plan, all, o); err != nil {
 				return nil, err
 			}
--- a/daemon/retirer.go
+++ b/daemon/retirer.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +19,7 @@
 	core  *Core
 	seat  *term.Seat
 	least uint64               // the register's version as this holder has written it: less is not acted upon
+	told  string               // of what holds up a retirement: logged once
 	since map[uint64]time.Time // when a version that awaits the currency's end was first seen here settled
 }
 
@@ -71,8 +71,9 @@
 		if next, isChanged, waits := s.step(t, isClear, r.core.wall()); isChanged {
 			r.advance(ctx, s, AdvanceOrder{Old: old, To: next})
 			return // the next step looks at what stands then
-		} else if strings.Contains(waits, "trial answer was wrong") {
-			r.core.place.Log.Warn().Str("event", "retirement_stopped").Str("old", old).Str("waits_for", waits).Msg("")
+		} else if waits != r.told {
+			r.told = waits
+			r.core.place.Log.Info().Str("event", "retirement_waits").Str("old", old).Str("waits_for", waits).Msg("")
 		}
 	}
 }
--- a/sim/retire_test.go
+++ b/sim/retire_test.go
@@ -213,6 +213,9 @@
 		must(f.merge(notesBuild))
 		defer f.watchRoutes()()
 		must(f.retirement(retire("ridge-1", "ridge-2")))
+		number := f.retired()["retirement ridge-1"]["number"]
+		must(f.retirement(retire("ridge-1", "ridge-2"))) // an order whose answer was lost may be repeated
+		is.Equal(f.retired()["retirement ridge-1"]["number"], number)
 		refused(retire("ridge-1", "ridge-3"), fail.Crossed)
 		refused(retire("ridge-2", "ridge-3"), fail.Crossed)
 		f.Until(20*time.Second, "all routes have switched", func() bool {
