--- a/blueprint/adapter.go
+++ b/blueprint/adapter.go
@@ -225,47 +225,47 @@
 	return nil
 }
 
-// Upon is one adapter on one base, with its build.
-type Upon struct {
+// Placement is one adapter on one base, with its build.
+type Placement struct {
 	Adapter string `json:"adapter"`
 	Base    string `json:"base"`
 	Build   string `json:"build"`
 }
 
 // Key names an adapter on a base among what a replica has.
-func (u Upon) Key() string { return u.Adapter + "@" + u.Base }
+func (u Placement) Key() string { return u.Adapter + "@" + u.Base }
 
-// Needs lists, by pool, which adapters its replicas are to have on which bases.
-func (b *Blueprint) Needs(s Retirements) map[string][]Upon {
-	needs := map[string][]Upon{}
+// Desired lists, by pool, which adapters its replicas are to have on which bases.
+func (b *Blueprint) Desired(s Retirements) map[string][]Placement {
+	desired := map[string][]Placement{}
 	for _, name := range slices.Sorted(maps.Keys(b.Paths)) {
 		p := b.Paths[name]
 		a, isThere := b.Adapters[p.Adapter]
 		if !isThere {
 			continue
 		}
-		var all []Upon
+		var all []Placement
 		base, build := s.Route(a)
-		all = append(all, Upon{a.Name, base, build})
+		all = append(all, Placement{a.Name, base, build})
 		for _, t := range s {
 			if t.IsRunning() && t.Phase != Undoing && s.IsOn(a, t.Old) {
 				if base != t.New {
-					all = append(all, Upon{a.Name, t.New, a.Builds[t.New]})
+					all = append(all, Placement{a.Name, t.New, a.Builds[t.New]})
 				} else if !t.IsPast() { // the way back stays open
 					before := maps.Clone(s)
 					delete(before, t.Old)
 					base, build := before.Route(a)
-					all = append(all, Upon{a.Name, base, build})
+					all = append(all, Placement{a.Name, base, build})
 				}
 			}
 		}
 		for _, target := range p.Pools() {
 			for _, u := range all {
-				if u.Build != "" && !slices.Contains(needs[target.Pool], u) {
-					needs[target.Pool] = append(needs[target.Pool], u)
+				if u.Build != "" && !slices.Contains(desired[target.Pool], u) {
+					desired[target.Pool] = append(desired[target.Pool], u)
 				}
 			}
 		}
 	}
-	return needs
+	return desired
 }
--- a/blueprint/adapter_test.go
+++ b/blueprint/adapter_test.go
@@ -60,17 +60,17 @@
 	all["m1"] = Retirement{Old: "m1", New: "m2", Phase: Moving}
 	is.Equal(on(a), "m1 a1")
 	is.True(!all.IsOn(b, "m1"))
-	is.Equal(plan.Needs(all)["p"], []Upon{{"a", "m1", "a1"}, {"a", "m2", "a2"}, {"b", "m2", "b2"}})
+	is.Equal(plan.Desired(all)["p"], []Placement{{"a", "m1", "a1"}, {"a", "m2", "a2"}, {"b", "m2", "b2"}})
 	switched := all["m1"].With(Moving, "a", Move{Phase: Switched, Build: "a2"})
 	is.Equal(len(all["m1"].Moves), 0) // what was there is not touched
 	all["m1"] = switched
 	is.Equal(on(a), "m2 a2")
-	is.Equal(plan.Needs(all)["p"], []Upon{{"a", "m2", "a2"}, {"a", "m1", "a1"}, {"b", "m2", "b2"}}) // the way back stays open
+	is.Equal(plan.Desired(all)["p"], []Placement{{"a", "m2", "a2"}, {"a", "m1", "a1"}, {"b", "m2", "b2"}}) // the way back stays open
 	all["m1"] = switched.With(Undoing, "", Move{})
 	is.Equal(on(a), "m1 a1")
-	is.Equal(plan.Needs(all)["p"], []Upon{{"a", "m1", "a1"}, {"b", "m2", "b2"}})
+	is.Equal(plan.Desired(all)["p"], []Placement{{"a", "m1", "a1"}, {"b", "m2", "b2"}})
 	all["m1"] = switched.With(Dropping, "", Move{})
-	is.Equal(plan.Needs(all)["p"], []Upon{{"a", "m2", "a2"}, {"b", "m2", "b2"}})
+	is.Equal(plan.Desired(all)["p"], []Placement{{"a", "m2", "a2"}, {"b", "m2", "b2"}})
 	is.Equal(on(Adapter{Name: "new", Base: "m1", Builds: map[string]string{"m1": "n1", "m2": "n2"}}), "m2 n2") // declared since
 	all["m1"] = switched.With(Retired, "", Move{})
 	all["m2"] = Retirement{Old: "m2", New: "m3", Phase: Moving}
@@ -79,7 +79,7 @@
 	all["m2"] = all["m2"].With(Moving, "a", Move{Phase: Live, Build: "a3"})
 	is.Equal(on(a), "m3 a3")
 	is.Equal(on(b), "m2 b2")
-	is.Equal(plan.Needs(all)["p"], []Upon{{"a", "m3", "a3"}, {"a", "m2", "a2"}, {"b", "m2", "b2"}, {"b", "m3", "b3"}})
+	is.Equal(plan.Desired(all)["p"], []Placement{{"a", "m3", "a3"}, {"a", "m2", "a2"}, {"b", "m2", "b2"}, {"b", "m3", "b3"}})
 	for _, crossing := range []string{"m2", "m3"} {
 		_, isCrossed := all.Crossing(crossing)
 		is.True(isCrossed)
--- a/daemon/retire.go
+++ b/daemon/retire.go
@@ -172,8 +172,8 @@
 	plan        *blueprint.Blueprint
 	retirements blueprint.Retirements
 	duty        blueprint.Duty
-	needs       map[string][]blueprint.Upon // by pool
-	pools       map[string][]string         // replicas that are not leaving, by pool
+	desired     map[string][]blueprint.Placement // by pool
+	pools       map[string][]string              // replicas that are not leaving, by pool
 	replicas    map[string]blueprint.Replica
 	said        map[string]router.Report // of those that answer
 }
@@ -189,7 +189,7 @@
 	if s.retirements, s.duty, err = blueprint.ReadRetirements(moving.Fields); err != nil {
 		return nil
 	}
-	s.needs = plan.Needs(s.retirements)
+	s.desired = plan.Desired(s.retirements)
 	if s.replicas, err = blueprint.Load[blueprint.Replica](c.keeper.Read(blueprint.ReplicasKey).Fields); err != nil {
 		return nil
 	}
@@ -222,20 +222,20 @@
 	if !isHeard {
 		return order, "it does not answer"
 	}
-	for _, u := range s.needs[s.replicas[name].Pool] {
+	for _, u := range s.desired[s.replicas[name].Pool] {
 		base, hasBase := said.Bases[u.Base]
 		has := said.Adapters[u.Key()]
 		switch {
 		case !hasBase:
-			return router.AdapterOrder{Upon: blueprint.Upon{Base: u.Base}, Do: router.LoadBase}, "its turn to load " + u.Base
+			return router.AdapterOrder{Placement: blueprint.Placement{Base: u.Base}, Do: router.LoadBase}, "its turn to load " + u.Base
 		case base.IsLoading:
 			return order, u.Base + " loads"
 		case has.Build != u.Build:
-			return router.AdapterOrder{Upon: u, Do: router.LoadAdapter}, "its turn to load " + u.Key()
+			return router.AdapterOrder{Placement: u, Do: router.LoadAdapter}, "its turn to load " + u.Key()
 		case has.State == router.AdapterLoading:
 			return order, u.Key() + " loads"
 		case has.State == router.AdapterLoaded:
-			return router.AdapterOrder{Upon: u, Do: router.TryAdapter}, "a trial answer of " + u.Key()
+			return router.AdapterOrder{Placement: u, Do: router.TryAdapter}, "a trial answer of " + u.Key()
 		case has.State == router.AdapterBad:
 			waits = fmt.Sprintf("another build of %s than %s, whose trial answer was wrong", u.Key(), u.Build)
 		}
@@ -280,7 +280,7 @@
 	if next.Phase == "" {
 		next.Build = a.Builds[t.New]
 	}
-	u := blueprint.Upon{Adapter: a.Name, Base: t.New, Build: next.Build}
+	u := blueprint.Placement{Adapter: a.Name, Base: t.New, Build: next.Build}
 	if u.Build == "" {
 		return next, "a build for " + t.New
 	}
@@ -360,8 +360,8 @@
 
 // has names a replica that has a base, or may have it.
 func (s *survey) has(base string) string {
-	for _, names := range s.pools {
-		for _, name := range names {
+	for _, pool := range slices.Sorted(maps.Keys(s.pools)) {
+		for _, name := range s.pools[pool] {
 			said, isHeard := s.said[name]
 			if _, isThere := said.Bases[base]; isThere || !isHeard {
 				return fmt.Sprintf("%s to drop %s", name, base)
@@ -372,8 +372,8 @@
 }
 
 func (s *survey) isNeeded(base string) bool {
-	for _, all := range s.needs {
-		if slices.ContainsFunc(all, func(u blueprint.Upon) bool { return u.Base == base }) {
+	for _, all := range s.desired {
+		if slices.ContainsFunc(all, func(u blueprint.Placement) bool { return u.Base == base }) {
 			return true
 		}
 	}
--- a/daemon/retirer.go
+++ b/daemon/retirer.go
@@ -137,7 +137,7 @@
 	var orders sync.WaitGroup
 	for pool := range s.pools {
 		for _, name := range s.drops(pool, base) {
-			order := router.AdapterOrder{Upon: blueprint.Upon{Base: base}, Do: router.DropBase}
+			order := router.AdapterOrder{Placement: blueprint.Placement{Base: base}, Do: router.DropBase}
 			orders.Go(func() { r.order(ctx, s.replicas[name], order) })
 		}
 	}
--- a/router/adapter.go
+++ b/router/adapter.go
@@ -47,15 +47,15 @@
 	v.adapters = map[string]adapter{}
 	for name, a := range plan.Adapters {
 		base, build := retirements.Route(a)
-		v.adapters[name] = adapter{a.Tenants, blueprint.Upon{Adapter: name, Base: base, Build: build}}
+		v.adapters[name] = adapter{a.Tenants, blueprint.Placement{Adapter: name, Base: base, Build: build}}
 	}
 	return nil
 }
 
 // adapter is a route, and who may use it; none named: everybody.
 type adapter struct {
-	tenants []string
-	upon    blueprint.Upon
+	tenants   []string
+	placement blueprint.Placement
 }
 
 // mayUse refuses a tenant that may not use the path's adapter.
@@ -66,36 +66,37 @@
 	return nil
 }
 
-// upon gives the base and adapter that the path's requests run on now, and whether the replica has it.
-func (v *View) upon(p *path, rep *replica) (on blueprint.Upon, isFit bool) {
+// placement gives the base and adapter that the path's requests run on now, and whether the replica has it. A stream that is taken up again
+// goes on where it began, or not at all.
+func (v *View) placement(x *Exchange, p *path, rep *replica) (on blueprint.Placement, isFit bool) {
 	if p.Adapter == "" {
 		return on, true
 	}
-	on = v.adapters[p.Adapter].upon
+	on = v.adapters[p.Adapter].placement
 	said := rep.report.Load()
-	if said == nil {
+	if said == nil || x.begun.Adapter != "" && x.begun != on {
 		return on, false
 	}
 	has := said.Adapters[on.Key()]
 	return on, on.Build != "" && has.Build == on.Build && has.State == AdapterTried
 }
 
-// isUponGone says whether a refusal's ground is a base or adapter that the replica has not.
-func isUponGone(reason string) bool { return reason == "base_gone" || reason == "adapter_gone" }
+// isPlacementGone says whether a refusal's ground is a base or adapter that the replica has not.
+func isPlacementGone(reason string) bool { return reason == "base_gone" || reason == "adapter_gone" }
 
-// forgetUpon takes a replica at its word, until its next report, that it has not what a request was to run on.
-func (x *Exchange) forgetUpon() {
+// forgetPlacement takes a replica at its word, until its next report, that it has not what a request was to run on.
+func (x *Exchange) forgetPlacement() {
 	if said := x.replica.report.Load(); said != nil {
 		less := *said
 		less.Adapters = maps.Clone(said.Adapters)
-		delete(less.Adapters, x.upon.Key())
+		delete(less.Adapters, x.placement.Key())
 		x.replica.report.Store(&less)
 	}
 }
 
 // firstGain has a replica drawn first that has not answered a caller from the adapter yet: whether it does is soon known everywhere, though
 // kept prompts would lead all callers to a few.
-func firstGain(rep *replica, on blueprint.Upon) float64 {
+func firstGain(rep *replica, on blueprint.Placement) float64 {
 	if on.Adapter != "" && rep.report.Load().Adapters[on.Key()].Live == 0 {
 		return oldCost
 	}
@@ -103,7 +104,7 @@
 }
 
 // domainOf adds the base and the adapter to what separates kept prompts (§6.3).
-func domainOf(weights string, on blueprint.Upon) string {
+func domainOf(weights string, on blueprint.Placement) string {
 	if on.Adapter == "" {
 		return weights
 	}
@@ -117,8 +118,8 @@
 	buildHeader   = "X-Adapter-Build"
 )
 
-// dressUpon says to the replica what the request runs on; a caller does not say it for us.
-func dressUpon(h http.Header, on blueprint.Upon) {
+// dressPlacement says to the replica what the request runs on; a caller does not say it for us.
+func dressPlacement(h http.Header, on blueprint.Placement) {
 	for name, value := range map[string]string{baseHeader: on.Base, adapterHeader: on.Adapter, buildHeader: on.Build} {
 		h.Del(name)
 		if on.Adapter != "" {
@@ -132,7 +133,7 @@
 
 // AdapterOrder has a replica load or drop a base, or load or try an adapter; one under a lower term than the replica has met is refused.
 type AdapterOrder struct {
-	blueprint.Upon
+	blueprint.Placement
 	Do   string `json:"do"`
 	Term uint64 `json:"term"`
 }
--- /dev/null
+++ b/router/adapter_test.go
@@ -0,0 +1,87 @@
+package router
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"asterridge/blueprint"
+	"asterridge/fail"
+	"asterridge/prompt"
+	"asterridge/register"
+)
+
+// A request runs where its adapter's build on its base was tried; a stream that is taken up again runs on no other base.
+func TestPlacementFollowsTheRouteAndTheReplicasWord(t *testing.T) {
+	is := is.New(t)
+	plan, err := blueprint.Read([]byte(`{"tenants":[{"name":"a"},{"name":"b"}],"pools":[{"name":"p","weights":"w1"}],
+	 "adapters":[{"name":"huts","base":"m1","builds":{"m1":"h1","m2":"h2"},"tenants":["a"]}],
+	 "paths":[{"name":"x","address":"/x","pool":"p","adapter":"huts"},{"name":"y","address":"/y","pool":"p"}]}`), nil, false)
+	is.NoErr(err)
+	fields := register.Fields{}
+	compiled := func() *View {
+		v := &View{}
+		is.NoErr(v.compileAdapters(plan, func(string) (register.Stamp, register.Fields) { return register.Stamp{}, fields }))
+		return v
+	}
+	before := compiled()
+	moving := blueprint.Retirement{Old: "m1", New: "m2", Phase: blueprint.Moving}.With(blueprint.Moving, "huts", blueprint.Move{Phase: blueprint.Switched, Build: "h2"})
+	fields = blueprint.Field("m1", moving)
+	after := compiled()
+	x, huts, plain := &Exchange{}, &path{Path: plan.Paths["x"]}, &path{Path: plan.Paths["y"]}
+	rep := &replica{load: newLoad()}
+	_, isFit := before.placement(x, plain, rep)
+	is.True(isFit) // it needs none
+	_, isFit = before.placement(x, huts, rep)
+	is.True(!isFit) // not heard
+	says := func(has map[string]Adapter) {
+		rep.report.Store(&report{Report: Report{AdapterReport: AdapterReport{Adapters: has}}, at: time.Now()})
+	}
+	says(map[string]Adapter{"huts@m1": {Build: "h1", State: AdapterTried}, "huts@m2": {Build: "h2", State: AdapterLoaded}})
+	old, isFit := before.placement(x, huts, rep)
+	is.True(isFit)
+	is.Equal(old, blueprint.Placement{Adapter: "huts", Base: "m1", Build: "h1"})
+	on, isFit := after.placement(x, huts, rep)
+	is.True(!isFit) // not tried there
+	is.Equal(on, blueprint.Placement{Adapter: "huts", Base: "m2", Build: "h2"})
+	says(map[string]Adapter{"huts@m1": {Build: "h1", State: AdapterTried}, "huts@m2": {Build: "h3", State: AdapterTried}})
+	_, isFit = after.placement(x, huts, rep)
+	is.True(!isFit) // another build
+	says(map[string]Adapter{"huts@m1": {Build: "h1", State: AdapterTried}, "huts@m2": {Build: "h2", State: AdapterTried, Live: 1}})
+	_, isFit = after.placement(x, huts, rep)
+	is.True(isFit)
+	is.Equal(firstGain(rep, on), 0.0)
+	is.True(firstGain(rep, old) > 0)
+
+	x.begun = old
+	_, isFit = before.placement(x, huts, rep)
+	is.True(isFit)
+	_, isFit = after.placement(x, huts, rep)
+	is.True(!isFit) // its first pieces came from m1
+
+	x.replica, x.placement = rep, on
+	x.forgetPlacement()
+	_, isFit = after.placement(&Exchange{}, huts, rep)
+	is.True(!isFit)
+	_, isFit = before.placement(&Exchange{}, huts, rep)
+	is.True(isFit) // of the other base it said nothing
+
+	is.NoErr(before.mayUse(&tenant{Tenant: plan.Tenants["a"]}, huts))
+	is.True(fail.Is(before.mayUse(&tenant{Tenant: plan.Tenants["b"]}, huts), fail.NoAdapter))
+	is.NoErr(before.mayUse(&tenant{Tenant: plan.Tenants["b"]}, plain))
+}
+
+func TestCacheDomainGrowsByBaseAndAdapter(t *testing.T) {
+	is := is.New(t)
+	met := map[string]bool{}
+	for _, on := range []blueprint.Placement{{}, {Adapter: "a", Base: "m1", Build: "1"}, {Adapter: "a", Base: "m1", Build: "2"}, {Adapter: "a", Base: "m2", Build: "1"}, {Adapter: "b", Base: "m1", Build: "1"}} {
+		met[prompt.Domain("t", 1, false, domainOf("w1", on))] = true
+	}
+	is.Equal(len(met), 5)
+	is.Equal(domainOf("w1", blueprint.Placement{}), "w1") // without an adapter nothing has changed
+	h := http.Header{"X-Base": {"mine"}, "X-Adapter": {"mine"}, "X-Adapter-Build": {"mine"}}
+	dressPlacement(h, blueprint.Placement{})
+	is.Equal(len(h), 0) // a caller does not say it
+}
--- a/router/dialect.go
+++ b/router/dialect.go
@@ -203,7 +203,7 @@
 	switch {
 	case r.StatusCode == 429:
 		v.IsNotRun, v.IsPushed, v.IsTenant = true, true, body.Error.Type == "tenant_throttled"
-	case r.StatusCode == 412 && (body.Error.Type == "weights_mismatch" || isUponGone(body.Error.Type)):
+	case r.StatusCode == 412 && (body.Error.Type == "weights_mismatch" || isPlacementGone(body.Error.Type)):
 		v.IsNotRun, v.IsMoved = true, true
 	case r.StatusCode == 503 && (body.Error.Type == "overloaded" || body.Error.Type == "leaving" || body.Error.Type == "warming"):
 		v.IsNotRun, v.IsMoved, v.IsFull = true, true, body.Error.Type == "overloaded"
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -105,7 +105,8 @@
 	item      backlog.Item
 	replica   *replica
 	weights   string
-	upon      blueprint.Upon
+	placement blueprint.Placement
+	begun     blueprint.Placement // of a stream that is taken up again: its pieces are all from there
 	source    string
 	sink      string
 	reading   credit // until the first piece
--- a/router/filters.go
+++ b/router/filters.go
@@ -288,7 +288,7 @@
 		return again(fail.Of(err), time.Second)
 	}
 	x.replica, x.weights, x.source, x.sink, x.reading = c.replica, c.weights, c.source, c.sink, c
-	x.upon = c.upon
+	x.placement = c.placement
 	isKept := false
 	defer func() {
 		if !isKept {
--- a/router/pool.go
+++ b/router/pool.go
@@ -17,13 +17,14 @@
 type credit struct {
 	replica *replica
 	weights string
-	upon    blueprint.Upon
 	source  string // address of a peer or store that the replica should fetch the prefix from; "" to read it anew
 	sink    string // address of a store that it should leave the prefix at
 	work    int64  // what it has to read of the prompt
 	pool    *pool
 
 	isWindowed bool
+
+	placement blueprint.Placement
 }
 
 const (
@@ -87,7 +88,7 @@
 	homes := map[string]string{}
 	for _, rep := range p.replicas {
 		weights, isFit := r.mayServe(v, p, rep, x.Prompt.Model, now)
-		on, isReady := v.upon(x.Path, rep)
+		on, isReady := v.placement(x, x.Path, rep)
 		if !isFit || !isReady || !r.hasRoom(rep, now) || now.Before(*rep.coolUntil.Load()) {
 			continue
 		}
@@ -114,7 +115,7 @@
 		}
 		if cost < least || best.replica == nil ||
 			cost == least && register.Weight(x.anchor(domain), rep.Name) > register.Weight(x.anchor(domain), best.replica.Name) {
-			best, least = credit{replica: rep, weights: weights, upon: on, source: source, work: int64(x.Prompt.Size() - kept[rep.Name])}, cost
+			best, least = credit{replica: rep, weights: weights, placement: on, source: source, work: int64(x.Prompt.Size() - kept[rep.Name])}, cost
 			best.sink = r.sinkFor(x, v, kept)
 			if source == "" {
 				best.source = r.backUp(v, rep, kept)
--- a/router/relay.go
+++ b/router/relay.go
@@ -85,6 +85,7 @@
 func (r *Router) resume(x *Exchange, cause error) error {
 	x.Answer.end(cause)
 	r.cool(x.replica)
+	x.begun = x.placement
 	if err := r.paySecond(x, cause); err != nil {
 		return err
 	}
--- a/router/send.go
+++ b/router/send.go
@@ -35,7 +35,7 @@
 	if weights, isFit := r.mayServe(v, p.draw(x.ID), rep, x.Prompt.Model, time.Now()); !isFit || weights != x.weights {
 		return nil, errRedraw
 	}
-	if on, isReady := v.upon(p, rep); !isReady || on != x.upon {
+	if on, isReady := v.placement(x, p, rep); !isReady || on != x.placement {
 		return nil, errRedraw // the route has switched: the base is drawn at the write (§6.6)
 	}
 	return v, nil
@@ -44,7 +44,7 @@
 // Handle sends the request to its replica and waits for the first piece of the answer.
 func (f sendFilter) Handle(_ context.Context, x *Exchange, _ func(context.Context, *Exchange) error) error {
 	r, rep := f.r, x.replica
-	domain := prompt.Domain(x.Tenant.Name, x.Tenant.Born, x.Tenant.IsWalled, domainOf(x.weights, x.upon))
+	domain := prompt.Domain(x.Tenant.Name, x.Tenant.Born, x.Tenant.IsWalled, domainOf(x.weights, x.placement))
 	if _, err := r.recheck(x); err != nil {
 		return err
 	}
@@ -130,7 +130,7 @@
 		s.Weights = ""
 	}
 	r.options.Dialect.Dress(q.Header, x, s)
-	dressUpon(q.Header, x.upon)
+	dressPlacement(q.Header, x.placement)
 	// A body reader without GetBody keeps net/http from resending by itself (§5.4).
 	q.Body, q.GetBody = io.NopCloser(struct{ io.Reader }{bytes.NewReader(x.Body)}), nil
 	if len(x.Body) > 0 {
@@ -246,8 +246,8 @@
 	if v.IsMoved {
 		r.cool(x.replica)
 	}
-	if isUponGone(v.Reason) {
-		x.forgetUpon()
+	if isPlacementGone(v.Reason) {
+		x.forgetPlacement()
 	}
 	if v.IsFull {
 		r.borrow.learn(true)
--- a/sim/retire_test.go
+++ b/sim/retire_test.go
@@ -503,7 +503,7 @@
 	inAdapterBubble(t, 800, 200, func(is *is.I, f *Fleet) {
 		must(f.retirement(retire("ridge-1", "ridge-2")))
 		f.Until(15*time.Second, "the duty is taken up", func() bool { return f.holder() >= 0 })
-		late := router.AdapterOrder{Upon: blueprint.Upon{Base: "ridge-1"}, Do: router.DropBase}
+		late := router.AdapterOrder{Placement: blueprint.Placement{Base: "ridge-1"}, Do: router.DropBase}
 		raw := must(json.Marshal(late))
 		answer := must(f.Client.Post("http://"+At(ReplicaIP(0))+router.AdapterPath, "application/json", bytes.NewReader(raw)))
 		_ = answer.Body.Close()
--- a/standin/adapter.go
+++ b/standin/adapter.go
@@ -11,13 +11,13 @@
 	"asterridge/router"
 )
 
-// uponOf reads what a request is to run on.
-func uponOf(q *http.Request) blueprint.Upon {
-	return blueprint.Upon{Adapter: q.Header.Get("X-Adapter"), Base: q.Header.Get("X-Base"), Build: q.Header.Get("X-Adapter-Build")}
+// placementOf reads what a request is to run on.
+func placementOf(q *http.Request) blueprint.Placement {
+	return blueprint.Placement{Adapter: q.Header.Get("X-Adapter"), Base: q.Header.Get("X-Base"), Build: q.Header.Get("X-Adapter-Build")}
 }
 
 // lacks says why a request cannot run here; empty: it can. r.mu is held.
-func (r *Replica) lacks(on blueprint.Upon) string {
+func (r *Replica) lacks(on blueprint.Placement) string {
 	base, isThere := r.bases[on.Base]
 	has := r.adapters[on.Key()]
 	switch {
@@ -32,7 +32,7 @@
 }
 
 // runs counts a request that begins (1) or ends (-1) on its base; r.mu is held.
-func (r *Replica) runs(on blueprint.Upon, step int) {
+func (r *Replica) runs(on blueprint.Placement, step int) {
 	if base, isThere := r.bases[on.Base]; isThere {
 		base.Running += step
 		r.bases[on.Base] = base
@@ -40,7 +40,7 @@
 }
 
 // answered counts a whole answer of an adapter.
-func (r *Replica) answered(on blueprint.Upon) {
+func (r *Replica) answered(on blueprint.Placement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if has, isThere := r.adapters[on.Key()]; isThere && has.Build == on.Build {
--- a/standin/adapter_test.go
+++ b/standin/adapter_test.go
@@ -24,9 +24,9 @@
 		var lines []Run
 		r := NewReplica(ReplicaOptions{Name: "r-1", Kind: "model", Weights: "w1", Limit: 4, Rate: 100, PieceMs: 1000, LoadMs: 1000, Blocks: 10, Ledger: func(line Run) { lines = append(lines, line) }})
 		handler := r.Handler()
-		on := blueprint.Upon{Adapter: "huts", Base: "m1", Build: "h1"}
+		on := blueprint.Placement{Adapter: "huts", Base: "m1", Build: "h1"}
 		order := func(do string, term uint64) int {
-			raw, _ := json.Marshal(router.AdapterOrder{Upon: on, Do: do, Term: term})
+			raw, _ := json.Marshal(router.AdapterOrder{Placement: on, Do: do, Term: term})
 			w := httptest.NewRecorder()
 			handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, router.AdapterPath, bytes.NewReader(raw)))
 			return w.Code
--- a/standin/check_test.go
+++ b/standin/check_test.go
@@ -81,7 +81,7 @@
 }
 
 func on(base string) func(*Asked, *Run) {
-	return func(_ *Asked, r *Run) { r.Upon = blueprint.Upon{Adapter: "closures", Base: base, Build: "x"} }
+	return func(_ *Asked, r *Run) { r.Placement = blueprint.Placement{Adapter: "closures", Base: base, Build: "x"} }
 }
 
 // droppedAt adds a drop of the base that the first run was on, or of the new one where a retirement is among the facts.
@@ -106,7 +106,7 @@
 		}
 		for n, base := range []string{"b1", now} {
 			a, r := served(adapter+base+fmt.Sprint(n), 6+20*float64(n))
-			r.Upon = blueprint.Upon{Adapter: adapter, Base: base, Build: "x"}
+			r.Placement = blueprint.Placement{Adapter: adapter, Base: base, Build: "x"}
 			if len(pool) > 0 && n == 1 {
 				r.Replica = pool[0] + "-1"
 			}
--- a/standin/kv.go
+++ b/standin/kv.go
@@ -14,11 +14,11 @@
 
 // kvBlock is a block on its way between replicas and stores, with who made it and under which weights.
 type kvBlock struct {
-	Hash    string         `json:"hash"`
-	Tenant  string         `json:"tenant"`
-	Weights string         `json:"weights"`
-	At      time.Time      `json:"at"`
-	Upon    blueprint.Upon `json:"upon,omitzero"`
+	Hash      string              `json:"hash"`
+	Tenant    string              `json:"tenant"`
+	Weights   string              `json:"weights"`
+	At        time.Time           `json:"at"`
+	Placement blueprint.Placement `json:"placement,omitzero"`
 }
 
 type kvAnswer struct {
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -56,7 +56,7 @@
 	Fetched  int       `json:"fetched,omitempty"`  // bytes got from a peer or store
 	Outdated int       `json:"outdated,omitempty"` // blocks of the cache made under other weights
 	ID       string    `json:"id,omitempty"`       // the router's id of the request
-	blueprint.Upon
+	blueprint.Placement
 	Dropped string `json:"dropped,omitempty"` // a base that was dropped: no request
 	Salt    string `json:"salt,omitempty"`    // of this run alone: two runs of one request write different pieces
 	Pieces  int    `json:"pieces,omitempty"`  // of a stream
@@ -256,7 +256,7 @@
 	}
 	run := Run{Replica: r.options.Name, Tag: q.Header.Get("X-Caller-Tag"), Key: q.Header.Get("Idempotency-Key"),
 		Tenant: q.Header.Get("X-Tenant"), Domain: q.Header.Get("X-Cache-Domain"), At: time.Now(),
-		ID: q.Header.Get("X-Request-Id"), Upon: uponOf(q)}
+		ID: q.Header.Get("X-Request-Id"), Placement: placementOf(q)}
 	var body chat
 	if r.options.Kind == "model" {
 		if err := json.Unmarshal(raw, &body); err != nil {
@@ -266,7 +266,7 @@
 	}
 	r.mu.Lock()
 	run.Weights = r.weights
-	all, own, lacking := r.conducts[""], r.conducts[run.Tenant], r.lacks(run.Upon)
+	all, own, lacking := r.conducts[""], r.conducts[run.Tenant], r.lacks(run.Placement)
 	switch {
 	case r.options.Kind == "model" && (r.isLoading || q.Header.Get("X-Expect-Weights") != r.weights):
 		r.mu.Unlock()
@@ -296,7 +296,7 @@
 		return
 	}
 	r.running++
-	r.runs(run.Upon, 1)
+	r.runs(run.Placement, 1)
 	isWarm := r.isWarm()
 	r.mu.Unlock()
 	text := ""
@@ -316,7 +316,7 @@
 	defer func() {
 		r.mu.Lock()
 		r.running--
-		r.runs(run.Upon, -1)
+		r.runs(run.Placement, -1)
 		r.mu.Unlock()
 	}()
 	run.HasRun, run.Salt = true, rand.Text()[:8]
@@ -351,7 +351,7 @@
 		}
 	}
 	run.IsWhole = true
-	r.answered(run.Upon)
+	r.answered(run.Placement)
 }
 
 // answerWhole answers with one piece: a page, or an error of the replica's own.
@@ -408,12 +408,12 @@
 			if oldest, isMet := run.Met[b.Tenant]; !isMet || b.At.Before(oldest) {
 				run.Met[b.Tenant] = b.At
 			}
-			if b.Weights != r.weights || b.Upon != run.Upon {
+			if b.Weights != r.weights || b.Placement != run.Placement {
 				run.Outdated++
 			}
 		}
 		if b == nil {
-			fresh := kvBlock{hash, run.Tenant, r.weights, run.At, run.Upon}
+			fresh := kvBlock{hash, run.Tenant, r.weights, run.At, run.Placement}
 			r.keep(fresh)
 			made = append(made, fresh)
 		}
