--- a/blueprint/blueprint.go
+++ b/blueprint/blueprint.go
@@ -100,12 +100,13 @@
 
 // Blueprint is the whole declaration.
 type Blueprint struct {
-	Tenants  map[string]Tenant
-	Pools    map[string]Pool
-	Paths    map[string]Path
 	Adapters map[string]Adapter
-	Hold     Hold
-	Limits   Limits
+
+	Tenants map[string]Tenant
+	Pools   map[string]Pool
+	Paths   map[string]Path
+	Hold    Hold
+	Limits  Limits
 }
 
 // Empty is a blueprint with the default hold.
