--- a/router/exchange.go
+++ b/router/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"asterridge/backlog"
+	"asterridge/blueprint"
 	"asterridge/fail"
 	"asterridge/prompt"
 )
@@ -104,6 +105,8 @@
 	item      backlog.Item
 	replica   *replica
 	weights   string
+	placement blueprint.Placement
+	begun     blueprint.Placement // of a stream that is taken up again: its pieces are all from there
 	source    string
 	sink      string
 	reading   credit // until the first piece
--- a/router/pool.go
+++ b/router/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"asterridge/backlog"
+	"asterridge/blueprint"
 	"asterridge/prompt"
 	"asterridge/register"
 )
@@ -22,6 +23,8 @@
 	pool    *pool
 
 	isWindowed bool
+
+	placement blueprint.Placement
 }
 
 const (
@@ -88,21 +91,22 @@
 	var fit []fitting
 	for _, rep := range p.replicas {
 		weights, isFit := r.mayServe(v, p, rep, x.Prompt.Model, now)
-		if !isFit || !r.hasRoom(rep, now) || now.Before(*rep.coolUntil.Load()) {
+		on, isReady := v.placement(x, x.Path, rep)
+		if !isFit || !isReady || !r.hasRoom(rep, now) || now.Before(*rep.coolUntil.Load()) {
 			continue
 		}
-		domain := prompt.Domain(x.Tenant.Name, x.Tenant.Born, x.Tenant.IsWalled, weights)
+		domain := prompt.Domain(x.Tenant.Name, x.Tenant.Born, x.Tenant.IsWalled, domainOf(weights, on))
 		if domains[domain] == nil {
 			domains[domain] = r.stand(x, p, domain)
 		}
 		d := domains[domain]
 		d.meet(rep.Name)
-		fit = append(fit, fitting{rep, weights, d})
+		fit = append(fit, fitting{rep, weights, d, on})
 	}
 	for _, f := range fit {
 		rep, d := f.replica, f.standing
 		work, source := r.work(x, v, p, rep, d.kept)
-		cost := r.cost(rep, x.Prompt.Size(), work, now)
+		cost := r.cost(rep, x.Prompt.Size(), work, now) - firstGain(rep, f.on)
 		if x.Prompt.Parts != nil && rep.Zone != r.options.Zone {
 			cost += zoneCost
 		}
@@ -116,7 +120,7 @@
 			cost += oldCost // another replica's answer tells more
 		}
 		if cost < least || best.replica == nil || cost == least && register.Weight(d.anchor, rep.Name) > register.Weight(d.anchor, best.replica.Name) {
-			best, least = credit{replica: rep, weights: f.weights, source: source, work: int64(x.Prompt.Size() - d.kept[rep.Name])}, cost
+			best, least = credit{replica: rep, weights: f.weights, placement: f.on, source: source, work: int64(x.Prompt.Size() - d.kept[rep.Name])}, cost
 			best.sink = r.sinkFor(x, v, d)
 			if source == "" {
 				best.source = r.backUp(v, rep, d.kept)
@@ -139,6 +143,7 @@
 	replica  *replica
 	weights  string
 	standing *standing
+	on       blueprint.Placement
 }
 
 // standing is what is known of a prompt in one cache domain.
