--- a/cmd/hollow/measure.go
+++ b/cmd/hollow/measure.go
@@ -160,8 +160,10 @@
 	add("a core's descriptors", "", true, float64(last.cores.Descriptors)/coreCount)
 	add("an agent's descriptors", "", false, float64(last.agents.Descriptors)/n)
 	add("a core's disk", "kB", false, float64(last.cores.FileBytes)/coreCount/1000)
-	add("daemons current", "", false, float64(last.proxies.Current))
-	add("times that one was not", "", false, float64(last.proxies.Lost+last.agents.Lost))
+	add("agents current", "", false, float64(last.agents.Current))
+	add("proxies current", "", false, float64(last.proxies.Current))
+	add("times that an agent ceased to be", "", false, float64(last.agents.Lost))
+	add("times that a proxy ceased to be", "", false, float64(last.proxies.Lost))
 	add("resident, all hollow processes", "MB", false, float64(last.cores.Resident+last.agents.Resident+last.proxies.Resident)/1e6)
 	if isStirred {
 		more, err := o.stir(ctx, f)
