A view's shares are counted, not sorted anew for each replica

Found by hollow: with 100 daemons and 920 replicas 45 of 100 proxies were current; a dump of the proxies' process had nearly all of what ran in router.share, which sorted all proxies for each replica with two weights a comparison, whenever a proxy came or went.

--- a/router/view.go
+++ b/router/view.go
@@ -271,13 +271,18 @@
 		return limit
 	}
 	part, rest := limit/len(proxies), limit%len(proxies)
-	ranked := append([]string(nil), proxies...)
-	sort.Slice(ranked, func(i, j int) bool { return register.Weight(replica, ranked[i]) > register.Weight(replica, ranked[j]) })
-	for i, name := range ranked {
-		if name == own && i < rest {
-			part++
+	if rest == 0 || !slices.Contains(proxies, own) {
+		return part
+	}
+	rank, weight := 0, register.Weight(replica, own)
+	for _, name := range proxies {
+		if register.Weight(replica, name) > weight {
+			rank++
 		}
 	}
+	if rank < rest {
+		part++
+	}
 	return part
 }
 
