--- a/cmd/hollow/child.go
+++ b/cmd/hollow/child.go
@@ -21,7 +21,6 @@
 
 	"asterridge/daemon"
 	"asterridge/disk"
-	"asterridge/platform"
 	"asterridge/router"
 )
 
@@ -269,6 +268,12 @@
 	return c.runCore(i, l)
 }
 
+// toldDialect is that of a fleet whose replicas do not report to agents: the cores tell of them.
+type toldDialect struct{ router.ChatDialect }
+
+// ReportPath is empty.
+func (toldDialect) ReportPath() string { return "" }
+
 // platformBounds are such as the users' deployments have.
 var platformBounds = daemon.Bounds{IsClosed: true, Revoke: 5 * time.Second, Apply: 12 * time.Second, Version: 20 * time.Second, Lease: 3 * time.Second,
 	Drain: 3 * time.Second, Grace: 5 * time.Second, Beat: 1200 * time.Millisecond, MemoryMB: 64}
@@ -286,7 +291,7 @@
 		options := daemon.AgentOptions{}
 		if c.setup.IsPlatform {
 			options = platformBounds.Agent()
-			options.Dialect, options.Grace = platform.Dialect{}, 0
+			options.Dialect, options.Grace = toldDialect{}, 0
 		}
 		agent := daemon.NewAgent(c.place("agent", i, zones, outer.Addr().String()), nil, options)
 		c.all.Go(func() { _ = agent.Serve(c.ctx, local, outer) })
@@ -301,7 +306,7 @@
 		place := c.place("proxy", i, zones, agent)
 		options := router.Options{Name: place.Name, Zone: place.Zone, Fleet: fleetName, Agent: agent, Net: place.Net, Log: place.Log, Index: c.setup.Index, Seed: uint64(i)}
 		if c.setup.IsPlatform {
-			options.Dialect, options.AgentWait = platform.Dialect{}, platformBounds.Proxy().AgentWait
+			options.Dialect, options.AgentWait = toldDialect{}, platformBounds.Proxy().AgentWait
 		}
 		r := router.New(options)
 		c.all.Go(func() { r.Run(c.ctx) })
