--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -151,6 +151,7 @@
 	replica blueprint.Replica
 	order   blueprint.LoadOrder
 	isOpen  bool // its mark stands already
+	isFresh bool // nobody has ever told it to load: no lease is kept for it
 	most    int  // that may be marked in its pool
 }
 
@@ -170,7 +171,7 @@
 	if !isOurs {
 		return
 	}
-	change, now := register.Fields{}, time.Now()
+	change, now, free := register.Fields{}, time.Now(), l.seat.QuietUntil().Add(c.options.Lease)
 	for _, name := range gone {
 		change[name] = nil
 	}
@@ -180,7 +181,7 @@
 		switch {
 		case d.isOpen:
 			open[pool]++
-		case open[pool] < d.most && now.After(l.resting[name]): // open marks come first, so that all are counted by now
+		case open[pool] < d.most && now.After(l.resting[name]) && (d.isFresh || now.After(free)): // open marks come first, so that all are counted by now
 			open[pool]++
 			change.Apply(blueprint.Field(name, d.order))
 			l.made[name] = true
@@ -251,7 +252,7 @@
 				has = max(has, load.Version)
 			}
 			if has < wanted {
-				due = append(due, loading{replica: r, order: blueprint.LoadOrder{Model: model, Version: wanted}})
+				due = append(due, loading{replica: r, order: blueprint.LoadOrder{Model: model, Version: wanted}, isFresh: !isMarked})
 				break
 			}
 		}
