--- a/router/pool.go
+++ b/router/pool.go
@@ -180,17 +180,21 @@
 
 // hasRead ends a request's part in what its replica has yet to read, and its place in the pool's window.
 func (r *Router) hasRead(x *Exchange) {
-	r.endReading(x.reading)
+	c := x.reading
 	x.reading = credit{}
+	c.unread()
+	if c.isWindowed {
+		r.backlog.Wake(c.pool.index)
+	}
 }
 
-func (r *Router) endReading(c credit) {
+// unread takes back what a credit stands for until the first piece.
+func (c credit) unread() {
 	if c.replica != nil {
 		c.replica.pending.Add(-c.work)
 	}
 	if c.isWindowed {
 		c.pool.window.leave()
-		r.backlog.Wake(c.pool.index)
 	}
 }
 
@@ -381,10 +385,7 @@
 // leaveUnused returns a credit whose request left in the moment of the grant; it is called under the backlog's lock.
 func (r *Router) leaveUnused(c credit) {
 	r.giveBack(c)
-	c.replica.pending.Add(-c.work)
-	if c.isWindowed {
-		c.pool.window.leave()
-	}
+	c.unread()
 }
 
 // chain gives the prompt's blocks in a cache domain, made once.
