A holder that takes the loading duty anew forgets which marks were its own

Cause: read in the change itself. Marks of an earlier term counted as ours for good, so that a replica which another holder had told since could be told again within the lease.

--- a/daemon/backend.go
+++ b/daemon/backend.go
@@ -164,9 +164,12 @@
 		return
 	}
 	if time.Since(l.renewed) > loadTerm/5 && (isOurs || register.Draw(termPrefix+"loading", c.live()) == c.place.Name) {
+		wasOurs := isOurs
 		l.renewed = time.Now()
 		l.seat.Step(ctx)
-		fence, isOurs = l.seat.Holds()
+		if fence, isOurs = l.seat.Holds(); !wasOurs {
+			clear(l.made) // marks of an earlier term of ours may have been another holder's since
+		}
 	}
 	if !isOurs {
 		return
