--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -239,8 +239,16 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	LogStop(ctx, s.Host.Log)
 	if err := run(ctx); err != nil {
 		s.Host.Log.Error().Err(err).Msg("process failed")
 		os.Exit(1)
 	}
+	s.Host.Log.Info().Msg("process ended")
+}
+
+// LogStop writes a line when the context ends, with its cause: which signal told the process to stop. A process that ends without this line
+// and "process ended" after it was killed or failed.
+func LogStop(ctx context.Context, log zerolog.Logger) {
+	context.AfterFunc(ctx, func() { log.Info().Str("cause", context.Cause(ctx).Error()).Msg("stop requested") })
 }
