--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,146 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Command is a program with its arguments and its environment.
+type Command struct {
+	Name string // of the process, unique in the fleet
+	Path string
+	Args []string
+	Env  []string // beside the variables of this process
+}
+
+// SentSignal is a signal that a process was sent.
+type SentSignal struct {
+	Signal syscall.Signal
+	At     time.Time
+	Silent bool // the process had not written a line yet: it may not catch signals so early
+}
+
+// Process is one life of a command, from its start to its end.
+type Process struct {
+	Command Command
+	Started time.Time
+
+	cmd     *exec.Cmd
+	gone    chan struct{}
+	mu      sync.Mutex
+	output  bytes.Buffer
+	signals []SentSignal
+	ended   time.Time
+}
+
+// Start starts a command. What it writes is kept.
+func Start(c Command) (*Process, error) {
+	p := &Process{Command: c, Started: time.Now(), gone: make(chan struct{}), cmd: exec.Command(c.Path, c.Args...)}
+	p.cmd.Env = append(os.Environ(), c.Env...)
+	p.cmd.Stdout, p.cmd.Stderr = p, p
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", c.Name, err)
+	}
+	go func() {
+		_ = p.cmd.Wait() // how it ended is read from its state
+		p.mu.Lock()
+		p.ended = time.Now()
+		p.mu.Unlock()
+		close(p.gone)
+	}()
+	return p, nil
+}
+
+// Write keeps what the process writes.
+func (p *Process) Write(text []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.Write(text)
+}
+
+// Output is what the process has written.
+func (p *Process) Output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.String()
+}
+
+// PID is the process's number.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Signal sends a signal and notes it. A process that has ended gets none.
+func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ended.IsZero() {
+		return
+	}
+	p.signals = append(p.signals, SentSignal{s, time.Now(), p.output.Len() == 0})
+	_ = p.cmd.Process.Signal(s) // it has just ended
+}
+
+// Sent gives the first signal of a kind that the process was sent, if any.
+func (p *Process) Sent(s ...syscall.Signal) (first SentSignal, sent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, signal := range p.signals {
+		for _, kind := range s {
+			if signal.Signal == kind {
+				return signal, true
+			}
+		}
+	}
+	return first, false
+}
+
+// Gone is closed when the process has ended.
+func (p *Process) Gone() <-chan struct{} { return p.gone }
+
+// EndsWithin waits for the end of the process, and reports whether it came in time.
+func (p *Process) EndsWithin(limit time.Duration) bool {
+	select {
+	case <-p.gone:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// Runs reports whether the process has not ended.
+func (p *Process) Runs() bool { return p.Ended().IsZero() }
+
+// Ended is when the process was seen to have ended; zero while it runs.
+func (p *Process) Ended() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
+}
+
+// Exit says how a process that is gone has ended: its exit status, or the signal that ended it.
+func (p *Process) Exit() string { return p.cmd.ProcessState.String() }
+
+// ExitedInOrder reports whether a process that is gone has ended by itself with status 0.
+func (p *Process) ExitedInOrder() bool { return p.cmd.ProcessState.Success() }
+
+// Writes waits until the process has written a text, and reports whether that came in time.
+func (p *Process) Writes(text string, limit time.Duration) bool {
+	return eventually(limit, func() bool { return strings.Contains(p.Output(), text) })
+}
+
+// eventually asks again and again until the answer is yes, and reports whether that came in time.
+func eventually(limit time.Duration, so func() bool) bool {
+	const pause = 5 * time.Millisecond
+	for end := time.Now().Add(limit); !so(); time.Sleep(pause) {
+		if time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
