Signals are caught from a daemon's first line until it is gone

Class: a handler whose life ends before that of what it protects.

Change: daemon.CatchSignals takes SIGINT, SIGTERM and SIGHUP over before the settings are read and never gives them back; SIGPIPE is ignored, so that a log whose reader is gone does not end the process. One piece of code for asterridge and for core, agent, proxy, which had no SIGHUP at all.

Seen before: TestStreamOutlastsWhatComesWhileDraining/SIGHUP red; in TestSignalsInEveryPhase 19 cells of asterridge and 20 of core, agent, proxy red (starting: HUP, TERM, INT; draining; log without a reader).

TestHangUpChangesNothingInForce looked at a function that is gone; it looks at the same now through daemon.Signals, and at SIGHUP after SIGTERM besides.

--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -8,11 +8,9 @@
 	"io"
 	"net"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
-	"syscall"
 
 	"github.com/go-faster/jx"
 	"github.com/rs/zerolog"
@@ -168,7 +166,14 @@
 // Listen opens the port that other machines reach.
 func (s *Settings) Listen() (net.Listener, error) { return s.Host.Net.Listen(s.listenAt()) }
 
-func (s *Settings) readFile() error {
+// readFile takes the settings of the file that the command line does not give.
+func (s *Settings) readFile() error { return s.parseFile(s.flags.Set) }
+
+// checkFile reports whether the settings file can be read; what is in force stays. Ranges are looked at by the next start only.
+func (s *Settings) checkFile() error { return s.parseFile(func(string, string) error { return nil }) }
+
+// parseFile hands each setting of the file that the command line does not give to take.
+func (s *Settings) parseFile(take func(name, value string) error) error {
 	if *s.settingsFile == "" {
 		return nil
 	}
@@ -201,7 +206,7 @@
 		if err != nil || given[name] {
 			return err
 		}
-		if err := s.flags.Set(name, value); err != nil {
+		if err := take(name, value); err != nil {
 			return fieldError(name, "%v", err)
 		}
 		return nil
@@ -229,26 +234,14 @@
 
 // Main reads the settings, runs the daemon until it is told to stop, and exits: 0 after a stop, 2 for bad settings, 1 for a failure.
 func Main(s *Settings, run func(ctx context.Context) error) {
+	signals := CatchSignals()
 	err := s.Read(os.Args[1:])
 	if errors.Is(err, flag.ErrHelp) {
-		os.Exit(0)
+		os.Exit(exitStopped)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	LogStop(ctx, s.Host.Log)
-	if err := run(ctx); err != nil {
-		s.Host.Log.Error().Err(err).Msg("process failed")
-		os.Exit(1)
+		os.Exit(exitBadSettings)
 	}
-	s.Host.Log.Info().Msg("process ended")
-}
-
-// LogStop writes a line when the context ends, with its cause: which signal told the process to stop. A process that ends without this line
-// and "process ended" after it was killed or failed.
-func LogStop(ctx context.Context, log zerolog.Logger) {
-	context.AfterFunc(ctx, func() { log.Info().Str("cause", context.Cause(ctx).Error()).Msg("stop requested") })
+	os.Exit(signals.Run(s.Host.Log, s.checkFile, run))
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -105,18 +105,26 @@
 	cancel    context.CancelFunc
 }
 
-// NewFleet starts a fleet below a folder, configures it, and waits until it serves. Stop ends it, also after an error.
-func NewFleet(folder string, system System, size Size) (*Fleet, error) {
+// PlaceFleet takes a part of the loopback network and gives the machines of a fleet their places, below a folder. Nothing is started yet.
+// Stop ends the fleet, also after an error.
+func PlaceFleet(folder string, system System, size Size) (*Fleet, error) {
 	f := &Fleet{Size: size, System: system, Ledger: newLedger(), folder: folder, processes: map[string]*Process{}, commands: map[string][]Command{}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
-	if err := f.findNetwork(); err != nil {
+	err := f.findNetwork()
+	f.placeMachines()
+	return f, err
+}
+
+// NewFleet starts a whole fleet, configures it, and waits until it serves. Stop ends it, also after an error.
+func NewFleet(folder string, system System, size Size) (*Fleet, error) {
+	f, err := PlaceFleet(folder, system, size)
+	if err != nil {
 		return f, err
 	}
 	if err := f.startReplicas(); err != nil {
 		return f, err
 	}
 	f.running.Go(func() { system.List(f.ctx, f) })
-	f.placeMachines()
 	for _, m := range f.Machines {
 		if err := f.StartMachine(m); err != nil {
 			return f, err
@@ -184,10 +192,7 @@
 
 // StartMachine starts a machine's processes. From then on each is started again when it has ended.
 func (f *Fleet) StartMachine(m Machine) error {
-	if err := os.MkdirAll(m.Data(), 0o755); err != nil {
-		return err
-	}
-	commands, err := f.System.Prepare(m, f)
+	commands, err := f.Prepare(m)
 	if err != nil {
 		return err
 	}
@@ -204,6 +209,14 @@
 	return nil
 }
 
+// Prepare makes a machine's disk and settings, and gives its processes' commands.
+func (f *Fleet) Prepare(m Machine) ([]Command, error) {
+	if err := os.MkdirAll(m.Data(), 0o755); err != nil {
+		return nil, err
+	}
+	return f.System.Prepare(m, f)
+}
+
 // start starts a command; while the fleet ends, it gives nil.
 func (f *Fleet) start(command Command) (*Process, error) {
 	f.mu.Lock()
@@ -228,7 +241,7 @@
 			return
 		}
 		m.FirstBoot = false
-		commands, err := f.System.Prepare(m, f)
+		commands, err := f.Prepare(m)
 		if err != nil {
 			f.Ledger.fail("settings of %s: %v", m.Name, err)
 			return
--- a/soak/process.go
+++ b/soak/process.go
@@ -17,6 +17,8 @@
 	Path string
 	Args []string
 	Env  []string // beside the variables of this process
+	// Settings is the file that the program reads when it starts and at SIGHUP.
+	Settings string
 }
 
 // SentSignal is a signal that a process was sent.
@@ -109,7 +111,7 @@
 	case <-p.gone:
 		return true
 	case <-time.After(limit):
-		return false
+		return !p.Runs()
 	}
 }
 
