A draining agent waits for the proxy run that it served, not for the next one

Found by TestSignalsInEveryPhase/in_a_fleet: proxy and agent of a machine are told to stop, the proxy is started anew and watches the old agent, which then stays to the end of its grace and beyond (killed after 8 s).

Change: the agent notes which run watches it when it is told to stop, and leaves when that run is gone. Ruled out: the polling interval and the shutdown of its listeners, which are the same without a restarted proxy.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -170,15 +170,15 @@
 	return mux
 }
 
-// awaitProxyStop waits while a stopping proxy still watches this agent, so that the proxy stays current until its last request is answered.
+// awaitProxyStop waits while the proxy run that watches this agent goes on doing so, so that it stays current until its last request is
+// answered. A run that is started after it is no reason to stay: it watches the next run of this agent.
 func (a *Agent) awaitProxyStop() {
-	for end := time.Now().Add(a.options.Grace); time.Now().Before(end); {
-		if _, connected := a.proxyStatus(membership.LivenessTimeout); !connected {
-			return
-		}
-		if rpc.Sleep(context.Background(), protocol.HelloInterval) != nil {
-			return
-		}
+	served, connected := a.proxyStatus(membership.LivenessTimeout)
+	for end := time.Now().Add(a.options.Grace); connected && time.Now().Before(end); {
+		time.Sleep(protocol.HelloInterval)
+		var present connectedProxy
+		present, connected = a.proxyStatus(membership.LivenessTimeout)
+		connected = connected && present.RunName() == served.RunName()
 	}
 }
 
