--- a/agent/agent.go
+++ b/agent/agent.go
@@ -49,6 +49,8 @@
 	WatchWait time.Duration
 	// Grace is how long a stopping agent goes on beside a proxy that has yet to stop; 0: not at all.
 	Grace time.Duration
+	// CloseTimeout is how long running answers may take when the agent closes its listeners; 0: 1 s.
+	CloseTimeout time.Duration
 }
 
 // Agent watches the cores and feeds the proxy beside it.
@@ -105,6 +107,9 @@
 	if options.WatchWait == 0 {
 		options.WatchWait = protocol.DefaultWatchWait
 	}
+	if options.CloseTimeout == 0 {
+		options.CloseTimeout = daemon.CloseTimeout
+	}
 	a := &Agent{
 		host:             host,
 		options:          options,
@@ -142,12 +147,12 @@
 	go daemon.Every(ctx, time.Minute, a.throttles.Prune)
 	go a.detector.Run(ctx)
 	go func() {
-		if err := daemon.Serve(ctx, listener, a.coreHandler(), time.Second); err != nil {
+		if err := daemon.Serve(ctx, listener, a.coreHandler(), a.options.CloseTimeout); err != nil {
 			a.host.Log.Error().Err(err).Msg("listener for cores failed")
 		}
 	}()
 	a.host.Log.Info().Str("address", a.host.Address).Msg("agent started")
-	return daemon.Serve(ctx, local, a.proxyHandler(), time.Second)
+	return daemon.Serve(ctx, local, a.proxyHandler(), a.options.CloseTimeout)
 }
 
 // proxyHandler has the endpoints for the proxy.
@@ -175,7 +180,7 @@
 func (a *Agent) awaitProxyStop() {
 	served, connected := a.proxyStatus(membership.LivenessTimeout)
 	for end := time.Now().Add(a.options.Grace); connected && time.Now().Before(end); {
-		time.Sleep(protocol.HelloInterval)
+		time.Sleep(min(protocol.HelloInterval, time.Until(end)))
 		var present connectedProxy
 		present, connected = a.proxyStatus(membership.LivenessTimeout)
 		connected = connected && present.RunName() == served.RunName()
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -41,6 +41,8 @@
 	Tolerance membership.Tolerance
 	// LeaveTimeout is how long a core that is told to stop may take to leave the members.
 	LeaveTimeout time.Duration
+	// CloseTimeout is how long running answers may take when the core closes its listener; 0: 1 s.
+	CloseTimeout time.Duration
 	// Backend is how a platform and its replicas are spoken to; nil where replicas speak our own interface.
 	Backend Backend
 	// Lease is the least time between the last order of one holder of a singleton role and the first of the next.
@@ -124,6 +126,9 @@
 
 // New opens a core's disk and loads what it has. The error is apierror.DiskFailed if the disk cannot be read or written.
 func New(host daemon.Host, d disk.Disk, options Options) (*Core, error) {
+	if options.CloseTimeout == 0 {
+		options.CloseTimeout = daemon.CloseTimeout
+	}
 	c := &Core{
 		host:              host,
 		options:           options,
@@ -232,7 +237,7 @@
 	}
 	go c.detector.Run(ctx)
 	c.host.Log.Info().Str("address", c.host.Address).Str("incarnation", c.incarnation).Msg("core started")
-	return daemon.Serve(ctx, listener, handler, time.Second)
+	return daemon.Serve(ctx, listener, handler, c.options.CloseTimeout)
 }
 
 // handler has all endpoints of a core.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -36,6 +36,8 @@
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
+	// CloseTimeout is how long running answers may take when a daemon closes its listeners, where its options do not say.
+	CloseTimeout = time.Second
 )
 
 // Serve answers on a listener until the context ends, and then lets running answers finish for the grace.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -108,7 +108,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", p.Router.Admin())
 	daemon.HandleMetrics(mux, gauges(p.Router))
-	if err := daemon.Serve(ctx, admin, mux, time.Second); err != nil {
+	if err := daemon.Serve(ctx, admin, mux, daemon.CloseTimeout); err != nil {
 		p.host.Log.Error().Err(err).Msg("listener for queries failed")
 	}
 }
