An agent tells its proxy nothing before it was current for the first time

Change: watch requests of the proxy wait for the agent's first currency, and fail with not_current if it does not come; the proxy keeps the view it has, under the currency it was given. TestAgentTellsItsProxyNothingInPart (fake time) is red without it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"asterridge/apierror"
 	"asterridge/config"
 	"asterridge/daemon"
 	"asterridge/disk"
@@ -79,6 +80,9 @@
 	currentUntil     time.Time
 	notCurrentReason string
 	loggedCurrent    bool
+	// everCurrent is closed when this agent is current for the first time.
+	everCurrent      chan struct{}
+	closeEverCurrent sync.Once
 	// unresponsive is which members did not answer when last looked at, by address.
 	unresponsive map[string]bool
 	// quorumSince is since when a majority of the members answers; zero while it does not.
@@ -121,6 +125,7 @@
 		undecided:        map[string]undecidedVersion{},
 		notCurrentReason: "no core found yet",
 		unresponsive:     map[string]bool{},
+		everCurrent:      make(chan struct{}),
 		proxies:          register.Fields{},
 		cacheReaders:     map[string]string{},
 		polled:           map[string]config.Replica{},
@@ -158,12 +163,25 @@
 // proxyHandler has the endpoints for the proxy.
 func (a *Agent) proxyHandler() http.Handler {
 	mux, fleet := http.NewServeMux(), a.host.Fleet
-	mux.Handle("POST /agent/pull", rpc.Handler(fleet, a.proxyUpdates.Watch))
+	mux.Handle("POST /agent/pull", rpc.Handler(fleet, a.handleProxyWatch))
 	mux.Handle("POST /agent/hold", rpc.Handler(fleet, a.forwardThrottle))
 	mux.Handle("POST /agent/claim", rpc.Handler(fleet, a.forwardClaim))
 	return mux
 }
 
+// handleProxyWatch answers the proxy's watch requests once this agent was current for the first time. Before that it has part of the registers
+// at the most, and would lead back a proxy that knows them from the agent's run before. The error is apierror.NotCurrent.
+func (a *Agent) handleProxyWatch(ctx context.Context, request watch.Request) (watch.Response, error) {
+	wait, cancel := context.WithTimeout(ctx, time.Duration(request.WaitMs)*time.Millisecond)
+	defer cancel()
+	select {
+	case <-a.everCurrent:
+		return a.proxyUpdates.Watch(ctx, request)
+	case <-wait.Done():
+		return watch.Response{}, apierror.New(apierror.NotCurrent, "no majority of cores was heard since this agent started")
+	}
+}
+
 // coreHandler has the endpoints for cores, other daemons and operators.
 func (a *Agent) coreHandler() http.Handler {
 	mux, fleet := http.NewServeMux(), a.host.Fleet
--- a/agent/currency.go
+++ b/agent/currency.go
@@ -66,6 +66,9 @@
 		a.host.Log.Info().Bool("current", current).Str("reason", reason).Msg("currency changed")
 	}
 	a.currentUntil, a.notCurrentReason = until, reason
+	if now.Before(until) {
+		a.closeEverCurrent.Do(func() { close(a.everCurrent) })
+	}
 }
 
 // publishedKeys are the registers that the cores have told of.
