--- a/soak/client.go
+++ b/soak/client.go
@@ -22,7 +22,8 @@
 	Manner   string // in which it was sent
 	Nth      int    // on its connection, from 1
 	Deadline time.Duration
-	After    uint64 // of a stream that is taken up: the last event that the client has
+	After    uint64   // of a stream that is taken up: the last event that the client has
+	Behind   *Attempt // the request before it on the connection, whose answer it did not wait for
 
 	Began, Sent, Ended time.Time // Sent: its last byte; zero: it was not sent whole
 	Status             int       // 0: no answer
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -74,6 +74,18 @@
 	Submit(ctx context.Context, core Machine, c Change) Verdict
 	// Read asks a core for the number of the newest change.
 	Read(ctx context.Context, core Machine) (number int, err error)
+	// Contract is what the system promises beyond what all do.
+	Contract() Contract
+}
+
+// Contract is what a system promises beyond what all systems do.
+type Contract struct {
+	// CurrentReads: a read of the configuration is answered by the newest, or not at all.
+	CurrentReads bool
+	// AutoMembership: a core with an empty disk becomes a member by itself.
+	AutoMembership bool
+	// ConfigApply is the time after which an accepted change is read everywhere.
+	ConfigApply time.Duration
 }
 
 // Size is how large a fleet is.
@@ -93,16 +105,18 @@
 	// ListListener is where the list of replicas may be served.
 	ListListener net.Listener
 
-	folder    string
-	network   string // of the machines' addresses: 127.N
-	mu        sync.Mutex
-	processes map[string]*Process // the present life, by name
-	commands  map[string][]Command
-	lives     []*Process
-	stopping  bool
-	running   sync.WaitGroup
-	ctx       context.Context
-	cancel    context.CancelFunc
+	folder          string
+	network         string // of the machines' addresses: 127.N
+	mu              sync.Mutex
+	processes       map[string]*Process // the present life, by name
+	commands        map[string][]Command
+	lives           []*Process
+	nextReplicaPort atomic.Int64
+	onStart         func(m Machine, p *Process) // is told of each life
+	stopping        bool
+	running         sync.WaitGroup
+	ctx             context.Context
+	cancel          context.CancelFunc
 }
 
 // PlaceFleet takes a part of the loopback network and gives the machines of a fleet their places, below a folder. Nothing is started yet.
@@ -200,7 +214,7 @@
 	f.commands[m.Name] = commands
 	f.mu.Unlock()
 	for _, command := range commands {
-		p, err := f.start(command)
+		p, err := f.start(m, command)
 		if err != nil {
 			return err
 		}
@@ -218,7 +232,7 @@
 }
 
 // start starts a command; while the fleet ends, it gives nil.
-func (f *Fleet) start(command Command) (*Process, error) {
+func (f *Fleet) start(m Machine, command Command) (*Process, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.stopping {
@@ -230,6 +244,9 @@
 	}
 	f.processes[command.Name] = p
 	f.lives = append(f.lives, p)
+	if f.onStart != nil {
+		f.onStart(m, p)
+	}
 	return p, nil
 }
 
@@ -247,7 +264,7 @@
 			return
 		}
 		at := slices.IndexFunc(commands, func(c Command) bool { return c.Name == p.Command.Name })
-		if p, err = f.start(commands[at]); err != nil {
+		if p, err = f.start(m, commands[at]); err != nil {
 			f.Ledger.fail("restart: %v", err)
 			return
 		}
@@ -345,7 +362,7 @@
 	}
 	f.cancel()
 	_ = f.ListListener.Close() // the list's server may have closed it
-	for _, r := range f.Replicas {
+	for _, r := range f.ListedReplicas() {
 		r.stop()
 	}
 	f.running.Wait()
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -49,11 +49,20 @@
 	Answered time.Time
 }
 
+// ConfigRead is the record of a read of the configuration that was answered.
+type ConfigRead struct {
+	Core   string
+	Number int
+	Sent   time.Time
+}
+
 // Ledger is what clients, replicas and operators saw.
 type Ledger struct {
 	mu       sync.Mutex
 	runs     map[string]*Run // by stamp
+	attempts []*Attempt
 	changes  []SubmittedChange
+	reads    []ConfigRead
 	failures []string // of the soak itself
 }
 
@@ -66,6 +75,32 @@
 	l.runs[r.Stamp] = &r
 }
 
+// noteAttempt takes an attempt that has ended.
+func (l *Ledger) noteAttempt(a *Attempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempts = append(l.attempts, a)
+}
+
+// noteRead takes an answered read of the configuration.
+func (l *Ledger) noteRead(core string, number int, sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reads = append(l.reads, ConfigRead{core, number, sent})
+}
+
+// newestAccepted is the highest number that was accepted.
+func (l *Ledger) newestAccepted() (number int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.changes {
+		if c.Verdict == Accepted {
+			number = max(number, c.Number)
+		}
+	}
+	return number
+}
+
 // noteChange takes a change once its verdict is known or no longer asked for.
 func (l *Ledger) noteChange(c Change, v Verdict, sent, answered time.Time) {
 	l.mu.Lock()
--- a/soak/process.go
+++ b/soak/process.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,7 +26,34 @@
 type SentSignal struct {
 	Signal syscall.Signal
 	At     time.Time
-	Silent bool // the process had not written a line yet: it may not catch signals so early
+	Phase  Phase
+}
+
+// Phase is a part of a process's life, as its log tells it.
+type Phase int
+
+// The phases, in their order.
+const (
+	Launching Phase = iota // nothing was written yet: the process may not catch signals so early
+	Starting               // it does not listen yet
+	Joining                // a core that is no member yet, or an agent or proxy that is not current
+	Serving
+	Draining
+	Ending // its work has ended
+	phaseCount
+)
+
+// String names the phase.
+func (p Phase) String() string {
+	return [phaseCount]string{"launching", "starting", "joining", "serving", "draining", "ending"}[p]
+}
+
+// What the log lines of a phase's beginning have; the last one that stands in a log counts.
+var phaseLines = map[Phase][]string{
+	Joining:  {" started "},
+	Serving:  {"fleet bootstrapped", "member=true", "current=true"},
+	Draining: {"stop requested"},
+	Ending:   {"proxy stopped", "process ended"},
 }
 
 // Process is one life of a command, from its start to its end.
@@ -84,10 +112,32 @@
 	if !p.ended.IsZero() {
 		return
 	}
-	p.signals = append(p.signals, SentSignal{s, time.Now(), p.output.Len() == 0})
+	p.signals = append(p.signals, SentSignal{s, time.Now(), p.phase()})
 	_ = p.cmd.Process.Signal(s) // it has just ended
 }
 
+// phase is the process's phase; p.mu is held.
+func (p *Process) phase() (now Phase) {
+	if p.output.Len() > 0 {
+		now = Starting
+	}
+	for phase, lines := range phaseLines {
+		for _, line := range lines {
+			if phase > now && bytes.Contains(p.output.Bytes(), []byte(line)) {
+				now = phase
+			}
+		}
+	}
+	return now
+}
+
+// Signals are those that the process was sent.
+func (p *Process) Signals() []SentSignal {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.signals)
+}
+
 // Sent gives the first signal of a kind that the process was sent, if any.
 func (p *Process) Sent(s ...syscall.Signal) (first SentSignal, sent bool) {
 	p.mu.Lock()
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -130,7 +130,7 @@
 	const interval = 300 * time.Millisecond
 	for ; ctx.Err() == nil; _ = rpc.Sleep(ctx, interval) { // the loop ends with the context
 		var replicas []config.Replica
-		for _, r := range f.Replicas {
+		for _, r := range f.ListedReplicas() {
 			state := config.ReplicaPresent
 			if r.Draining() {
 				state = config.ReplicaDraining
@@ -205,3 +205,11 @@
 
 // Every process goes through every phase of its life under every signal.
 func TestSignalsInEveryPhase(t *testing.T) { soak.PlayPhases(t, newPrograms(t)) }
+
+// Contract is that a query shows what the core that is asked knows, and that operators change the members.
+func (programs) Contract() soak.Contract { return soak.Contract{ConfigApply: 5 * time.Second} }
+
+var soakFlags = soak.AddFlags()
+
+// The product's own programs are soaked: processes are stopped, told, frozen and killed and the configuration changes while clients use them.
+func TestSoak(t *testing.T) { soakFlags.PlaySeeds(t, newPrograms(t)) }
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -139,6 +140,9 @@
 		Stamp: fmt.Sprintf("%s.%d", r.Name, r.number.Add(1)),
 	}
 	r.note(run)
+	if r.Draining() {
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set(r.speech.IDHeader, q.Header.Get(r.speech.IDHeader))
 	w.Header().Set(r.speech.StampHeader, run.Stamp)
 	if work.Kind.IsStream() {
@@ -189,3 +193,48 @@
 		return true
 	}
 }
+
+// replicaClose is how long requests that a replica runs may take when it has left.
+const replicaClose = 30 * time.Second
+
+// drainReplica has one of the replicas drain: it is listed so, and serves on.
+func (f *Fleet) drainReplica(n int) *Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.Replicas[n%len(f.Replicas)]
+	r.draining.Store(true)
+	return r
+}
+
+// replaceReplica takes a replica that has drained off the list, and starts another one in its place.
+func (f *Fleet) replaceReplica(leaving *Replica) {
+	f.mu.Lock()
+	at := slices.Index(f.Replicas, leaving)
+	f.mu.Unlock()
+	if at < 0 {
+		return // another series has replaced it
+	}
+	host, _, _ := net.SplitHostPort(leaving.Address) // it was made by us
+	f.nextReplicaPort.Add(1)
+	address := net.JoinHostPort(host, strconv.Itoa(replicaPort+int(f.nextReplicaPort.Load())))
+	next, err := startReplica(fmt.Sprintf("%s+%d", leaving.Name, f.nextReplicaPort.Load()), address, f.System.Speech(), f.Ledger.noteRun)
+	if err != nil {
+		f.Ledger.fail("replica: %v", err)
+		return
+	}
+	f.mu.Lock()
+	f.Replicas = slices.Clone(f.Replicas)
+	f.Replicas[at] = next
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), replicaClose)
+	defer cancel()
+	_ = leaving.server.Shutdown(ctx) // what runs there ends first
+	leaving.running.Wait()
+}
+
+// ListedReplicas are the replicas that the list has.
+func (f *Fleet) ListedReplicas() []*Replica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.Replicas
+}
