The configuration is read from what a majority shows where nobody can own its register

With four cores no read is answered within 3 s (three of seven cases red): to own the register is to write a promise to three disks, and two can. The configuration stands on three disks all the while.

Ruled out: membership (the three are members and hear each other), the time to come back.

--- a/controlplane/config.go
+++ b/controlplane/config.go
@@ -93,6 +93,9 @@
 // confirms that it is the newest.
 func (c *Core) ReadConfig(ctx context.Context) (number uint64, texts []config.Text, err error) {
 	record, err := c.newestConfig(ctx)
+	if err != nil { // a register that nobody owns yet is acquired, which writes to a majority of disks
+		record, err = c.quorumRead(ctx, config.Key)
+	}
 	if err != nil {
 		return 0, nil, err
 	}
--- a/sim/declare_test.go
+++ b/sim/declare_test.go
@@ -13,6 +13,7 @@
 	"asterridge/apierror"
 	"asterridge/config"
 	"asterridge/daemon"
+	"asterridge/membership"
 )
 
 // Right after a yes all cores stop at once, and one of them loses its disk: when they are back, the newest configuration is read from each,
@@ -50,6 +51,52 @@
 	}
 }
 
+// Right after a yes all machines stop at once, also those without a disk that counts; one core loses its disk, and another one's is full when it
+// is back. Read again and again from each core, the configuration comes within 3 s, and never an older one.
+func TestAllStopAndOneDiskIsLostAndAnotherFull(t *testing.T) {
+	t.Parallel()
+	const contact, gap = 3 * time.Second, 50 * time.Millisecond
+	for _, cores := range []int{3, 4} {
+		for lost := range cores {
+			full, later := (lost+1)%cores, false
+			o := numberedOptions(uint64(300+10*cores+lost), cores)
+			o.ChangeCoreHost = func(_ int, p *daemon.Host) { p.Bootstrapped = later }
+			inNumbered(t, o, func(is *is.I, f *Fleet) {
+				f.untilMembership(10*time.Second, members("core-1 core-2 core-3 core-4"[:7*cores-1]))
+				later = true
+				f.declare(0, numbered(1, 0, true, "a"))
+				is.NoErr(f.core((lost+2)%cores).SubmitConfig(context.Background(), numbered(2, 1, false, "b")))
+				for i := range cores {
+					f.Kill(CoreIP(i))
+				}
+				for i := range f.Proxies {
+					f.Kill(ProxyIP(i))
+				}
+				f.Disks[lost].Wipe()
+				f.Disks[full].Fill(true)
+				for i := range cores {
+					f.StartCore((lost + i) % cores)
+				}
+				came := map[int]bool{}
+				for end := time.Now().Add(contact); time.Now().Before(end); time.Sleep(gap) {
+					for i := range cores {
+						if f.core(i) == nil {
+							continue
+						}
+						if number, _, err := f.declared(i); err == nil {
+							is.Equal(number, uint64(2))
+							came[i] = true
+						}
+					}
+				}
+				if len(came) < membership.Majority(cores) {
+					t.Errorf("%d cores, %d without its disk, %d full: read from %v", cores, lost, full, came)
+				}
+			})
+		}
+	}
+}
+
 // A core is killed while a configuration is being taken, at any moment of it. Repeated unchanged at the others, the call is answered with a
 // clear word in the end, and what was said stands: a yes is there for good, and after a conflict another one is there.
 func TestDeclarationWhileACoreIsKilledIsDecidedOnce(t *testing.T) {
