--- a/cmd/fakebackend/main.go
+++ b/cmd/fakebackend/main.go
@@ -8,10 +8,8 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/signal"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -118,8 +116,6 @@
 	file := s.Text("ledger", "", "`file` that the ledger is added to")
 	s.Require("proxies", "keys")
 	daemon.Main(s, func(ctx context.Context) error {
-		ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM)
-		defer stop()
 		add, shut := ledger[fake.Exchange](*file)
 		defer shut()
 		var mu sync.Mutex
