--- a/controlplane/quorum_read.go
+++ b/controlplane/quorum_read.go
@@ -42,8 +42,8 @@
 	newest = c.acceptor.Read(key)
 	same, heard := 1, 1
 	for _, peer := range c.heardPeers(now, since) {
-		if held, _ := peer.Revisions(config.MembersKey); held != list.Revision {
-			return newest, apierror.New(apierror.OtherMembers, "a member has the list of members %v, not %v", held, list.Revision)
+		if seen, _ := peer.Revisions(config.MembersKey); seen != list.Revision {
+			return newest, apierror.New(apierror.OtherMembers, "a member has the list of members %v, not %v", seen, list.Revision)
 		}
 		heard++
 		switch state := peer.Read(key); {
--- a/deployment/bounds.go
+++ b/deployment/bounds.go
@@ -48,15 +48,15 @@
 	// watchWait is how long watch requests of agents and proxies are held open, coreWatchWait those between cores.
 	watchWait     = 700 * time.Millisecond
 	coreWatchWait = 200 * time.Millisecond
-	// proxyStopPart and agentStopPart are the parts of the grace that are left when a proxy cuts its last requests, and when an agent no
-	// longer waits for its proxy. The users' rule allows no cut before the last sixth (docs/platform.md, LOST).
-	proxyStopPart = 8
-	agentStopPart = 10
-	// agentClosePart and coreClosePart are the parts of the grace that running answers may take when the process closes its listeners, up to
+	// The grace by proxyStopDivisor is left when a proxy cuts its last requests, by agentStopDivisor when an agent no longer waits for its
+	// proxy. The users' rule allows no cut before the last sixth (docs/platform.md, LOST).
+	proxyStopDivisor = 8
+	agentStopDivisor = 10
+	// The grace by agentCloseDivisor and by coreCloseDivisor is what running answers may take when the process closes its listeners, up to
 	// closeTimeout.
-	agentClosePart = 20
-	coreClosePart  = 4
-	closeTimeout   = time.Second
+	agentCloseDivisor = 20
+	coreCloseDivisor  = 4
+	closeTimeout      = time.Second
 	// readinessLinger covers two of the platform's checks of readiness.
 	readinessLinger = 2200 * time.Millisecond
 	// claimRetention is how long clients' idempotency keys are remembered.
@@ -81,15 +81,15 @@
 		FreshLimit:     b.maxStaleness(),
 		UndecidedLimit: b.maxStaleness(),
 		WatchWait:      watchWait,
-		Grace:          b.Grace - b.Grace/agentStopPart,
-		CloseTimeout:   min(closeTimeout, b.Grace/agentClosePart),
+		Grace:          b.Grace - b.Grace/agentStopDivisor,
+		CloseTimeout:   min(closeTimeout, b.Grace/agentCloseDivisor),
 	}
 }
 
 // Proxy gives a proxy's options.
 func (b Bounds) Proxy() proxy.Options {
 	return proxy.Options{
-		Grace:           b.Grace - b.Grace/proxyStopPart,
+		Grace:           b.Grace - b.Grace/proxyStopDivisor,
 		ReadinessLinger: min(readinessLinger, b.Grace/3),
 		OldWeightsLimit: max(b.ModelVersion/2, b.ModelVersion-modelVersionMargin),
 		RetryRatio:      b.RetryRatio,
@@ -109,6 +109,6 @@
 		WatchWait:      coreWatchWait,
 		Tolerance:      b.Tolerance,
 		LeaveTimeout:   min(controlplane.MaxLeaveTimeout, b.Grace/2),
-		CloseTimeout:   min(closeTimeout, b.Grace/coreClosePart),
+		CloseTimeout:   min(closeTimeout, b.Grace/coreCloseDivisor),
 	}
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -15,8 +15,8 @@
 	contact = time.Second
 	// lossSlack is the time after which a whole request counts as read though it reached no replica.
 	lossSlack = 200 * time.Millisecond
-	// lateSends is how long after a stop a request may be sent whose work may outlast the grace.
-	lateSends = 3 * time.Second
+	// stopSendWindow is how long after a stop a request may be sent whose work may outlast the grace.
+	stopSendWindow = 3 * time.Second
 	// maxMemoryMB and maxDescriptors are what no process may have at rest.
 	maxMemoryMB    = 284
 	maxDescriptors = 200
@@ -27,7 +27,7 @@
 	fleet    *Fleet
 	plan     Plan
 	runs     map[string][]*Run // by tag
-	trouble  map[string][]span // unplanned, by machine
+	faults   map[string][]span // unplanned, by machine
 	stops    map[string][]time.Time
 	findings []string
 	involved map[string]bool // machines that findings name
@@ -37,7 +37,7 @@
 type span struct{ from, until time.Time }
 
 func newCheck(f *Fleet, plan Plan) *check {
-	return &check{fleet: f, plan: plan, runs: map[string][]*Run{}, trouble: map[string][]span{}, stops: map[string][]time.Time{}, involved: map[string]bool{}}
+	return &check{fleet: f, plan: plan, runs: map[string][]*Run{}, faults: map[string][]span{}, stops: map[string][]time.Time{}, involved: map[string]bool{}}
 }
 
 // find notes a finding about a machine.
@@ -72,13 +72,13 @@
 		c.runs[run.Tag] = append(c.runs[run.Tag], run)
 	}
 	for _, p := range c.fleet.Lives() {
-		c.life(p)
+		c.checkProcess(p)
 	}
 	for _, a := range c.fleet.Ledger.attempts {
 		c.attempt(a)
 	}
 	for tag, runs := range c.runs {
-		if work := c.workOf(tag); work != nil && !work.Kind.IsRepeatable() && len(runs) > 1 {
+		if work := c.workOf(tag); work != nil && !work.Kind.IsIdempotent() && len(runs) > 1 {
 			c.find("", "TWICE: %s was executed by %s and %s", tag, runs[0].Stamp, runs[1].Stamp)
 		}
 	}
@@ -95,8 +95,8 @@
 	return nil
 }
 
-// life checks how a process ended, and notes the trouble that it had.
-func (c *check) life(p *Process) {
+// checkProcess checks how a process ended, and notes the trouble that it had.
+func (c *check) checkProcess(p *Process) {
 	machine := machineOf(p)
 	var frozen time.Time
 	for _, s := range p.Signals() {
@@ -104,14 +104,14 @@
 		case syscall.SIGSTOP:
 			frozen = s.At
 		case syscall.SIGCONT:
-			c.trouble[machine] = append(c.trouble[machine], span{frozen, s.At})
+			c.faults[machine] = append(c.faults[machine], span{frozen, s.At})
 		case syscall.SIGKILL:
-			c.trouble[machine] = append(c.trouble[machine], span{s.At, s.At.Add(restartDelay)})
+			c.faults[machine] = append(c.faults[machine], span{s.At, s.At.Add(restartDelay)})
 		}
 	}
-	told, stopped := p.Sent(syscall.SIGTERM, syscall.SIGINT)
+	stop, stopped := p.Sent(syscall.SIGTERM, syscall.SIGINT)
 	if stopped {
-		c.stops[machine] = append(c.stops[machine], told.At)
+		c.stops[machine] = append(c.stops[machine], stop.At)
 	}
 	_, killed := p.Sent(syscall.SIGKILL, syscall.SIGQUIT)
 	if p.Runs() || p.ExitedInOrder() && stopped || isEndedEarly(p) {
@@ -119,14 +119,14 @@
 	}
 	_, froze := p.Sent(syscall.SIGSTOP)
 	switch {
-	case killed && stopped && !froze && p.Ended().Sub(told.At) >= c.plan.Size.Grace:
-		c.find(machine, "STUCK: %s had to be killed %v after %v", p.Command.Name, c.plan.Size.Grace, told.Signal)
+	case killed && stopped && !froze && p.Ended().Sub(stop.At) >= c.plan.Size.Grace:
+		c.find(machine, "STUCK: %s had to be killed %v after %v", p.Command.Name, c.plan.Size.Grace, stop.Signal)
 	case killed:
 	case stopped:
 		c.find(machine, "EXIT: %s was told to stop and ended with %s", p.Command.Name, p.Exit())
 	default:
 		c.find(machine, "EXIT: %s ended by itself with %s", p.Command.Name, p.Exit())
-		c.trouble[machine] = append(c.trouble[machine], span{p.Ended(), p.Ended().Add(restartDelay)})
+		c.faults[machine] = append(c.faults[machine], span{p.Ended(), p.Ended().Add(restartDelay)})
 	}
 }
 
@@ -142,7 +142,7 @@
 
 // isDisturbed reports whether a machine had unplanned trouble in a time.
 func (c *check) isDisturbed(machine string, from, until time.Time) bool {
-	for _, t := range c.trouble[machine] {
+	for _, t := range c.faults[machine] {
 		if t.from.Before(until) && t.until.After(from) {
 			return true
 		}
@@ -157,8 +157,8 @@
 	case a.CanceledByClient:
 	case a.Status == 0 || !a.Complete:
 		c.unanswered(a, runs)
-	case isRefusal(a.Status):
-		if len(runs) > 0 && !a.Work.Kind.IsRepeatable() {
+	case isRejection(a.Status):
+		if len(runs) > 0 && !a.Work.Kind.IsIdempotent() {
 			c.find(a.Machine, "REFUSED: %s has status %d and was executed by %s", a.Tag, a.Status, runs[0].Stamp)
 		}
 	case a.IsServed():
@@ -166,14 +166,14 @@
 	case !c.isDisturbed(a.Machine, a.Began.Add(-contact), a.Ended):
 		c.find(a.Machine, "FAILED: %s", a.story(runs))
 	}
-	if late := a.Ended.Sub(a.Sent) - a.Deadline; a.Sent.IsZero() || late <= answerSlack/2 || c.isDisturbed(a.Machine, a.Began.Add(-contact), a.Ended) {
+	if overdue := a.Ended.Sub(a.Sent) - a.Deadline; a.Sent.IsZero() || overdue <= answerSlack/2 || c.isDisturbed(a.Machine, a.Began.Add(-contact), a.Ended) {
 		return
 	}
 	c.find(a.Machine, "LATE: %s", a.story(runs))
 }
 
-// isRefusal reports whether a status promises that a request was not executed.
-func isRefusal(status int) bool {
+// isRejection reports whether a status promises that a request was not executed.
+func isRejection(status int) bool {
 	return status == 408 || status == 421 || status == 429 || status == 503
 }
 
@@ -208,8 +208,8 @@
 		}
 		next++
 	}
-	if next != uint64(a.Work.Pieces)+1 && a.After < uint64(a.Work.Pieces) {
-		c.find(a.Machine, "ORDER: %s ends as complete before event %d of %d", a.Tag, next, a.Work.Pieces)
+	if next != uint64(a.Work.Chunks)+1 && a.After < uint64(a.Work.Chunks) {
+		c.find(a.Machine, "ORDER: %s ends as complete before event %d of %d", a.Tag, next, a.Work.Chunks)
 	}
 }
 
@@ -229,9 +229,9 @@
 
 // isOutlasting reports whether a request was cut in the last sixth of the grace of a machine that was told to stop.
 func (c *check) isOutlasting(a *Attempt) bool {
-	for _, told := range c.stops[a.Machine] {
-		after := a.Ended.Sub(told)
-		if after > c.plan.Size.Grace*5/6 && after < c.plan.Size.Grace+restartDelay && a.Sent.Before(told.Add(lateSends)) {
+	for _, stop := range c.stops[a.Machine] {
+		after := a.Ended.Sub(stop)
+		if after > c.plan.Size.Grace*5/6 && after < c.plan.Size.Grace+restartDelay && a.Sent.Before(stop.Add(stopSendWindow)) {
 			return true
 		}
 	}
@@ -241,8 +241,8 @@
 // story tells what happened to a request.
 func (a *Attempt) story(runs []*Run) string {
 	var out strings.Builder
-	fmt.Fprintf(&out, "%s (%v, %s, number %d of its connection, %d pieces of %v) to %s, begun %s, sent %s, ended %s: status %d, %d bytes, %s", a.Tag, a.Work.Kind, a.Manner, a.Nth,
-		a.Work.Pieces, a.Work.Gap, a.Machine, a.Began.Format(clock), a.Sent.Format(clock), a.Ended.Format(clock), a.Status, len(a.Body), a.Failure)
+	fmt.Fprintf(&out, "%s (%v, %s, number %d of its connection, %d chunks of %v) to %s, begun %s, sent %s, ended %s: status %d, %d bytes, %s", a.Tag, a.Work.Kind, a.Manner, a.Nth,
+		a.Work.Chunks, a.Work.Gap, a.Machine, a.Began.Format(clock), a.Sent.Format(clock), a.Ended.Format(clock), a.Status, len(a.Body), a.Failure)
 	if a.Status != 0 && a.Stamp == "" {
 		fmt.Fprintf(&out, ", %.200q", a.Body)
 	}
@@ -255,7 +255,7 @@
 // changes checks what operators were told.
 func (c *check) changes() {
 	for _, change := range c.fleet.Ledger.changes {
-		if change.Kind == RefusedChange && change.Verdict == Accepted {
+		if change.Kind == InvalidChange && change.Verdict == Accepted {
 			c.find("", "CONFIG: change %d is invalid and was accepted", change.Number)
 		}
 		if change.Verdict != Accepted || !c.fleet.System.Contract().CurrentReads {
@@ -276,9 +276,9 @@
 	}
 }
 
-// rest looks at what processes hold once the clients have gone, and at the goroutines of one process of each role.
-func (c *check) rest(peaks map[string]Peak) {
-	pause(c.fleet.ctx, restLength)
+// inspectIdle looks at what processes hold once the clients have gone, and at the goroutines of one process of each role.
+func (c *check) inspectIdle(peaks map[string]Peak) {
+	sleep(c.fleet.ctx, idleLength)
 	for _, m := range c.fleet.Machines {
 		for _, p := range c.fleet.On(m) {
 			_, role, _ := strings.Cut(p.Command.Name, "/")
--- a/soak/client.go
+++ b/soak/client.go
@@ -73,16 +73,16 @@
 	return strings.Join(lines, "\r\n") + "\r\n\r\n"
 }
 
-// Send writes a request, in one write or in pieces with a pause between them.
-func (c *Connection) Send(a *Attempt, body string, pieces int, gap time.Duration) error {
+// Send writes a request, in one write or in chunks with a pause between them.
+func (c *Connection) Send(a *Attempt, body string, chunks int, gap time.Duration) error {
 	text := c.request(a, len(body)) + body
-	step := len(text)/max(1, pieces) + 1
+	step := len(text)/max(1, chunks) + 1
 	for len(text) > 0 {
-		part := text[:min(step, len(text))]
-		if text = text[len(part):]; len(text) == 0 {
+		chunk := text[:min(step, len(text))]
+		if text = text[len(chunk):]; len(text) == 0 {
 			a.Sent = time.Now() // before the write: what is read before the answer was sent by then
 		}
-		if _, err := io.WriteString(c.conn, part); err != nil {
+		if _, err := io.WriteString(c.conn, chunk); err != nil {
 			a.Sent, a.Failure = time.Time{}, err.Error()
 			return err
 		}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -16,7 +16,7 @@
 	longDeadline  = 30 * time.Second
 	// answerSlack is how much longer than a request's deadline its client waits, and how late its answer may be.
 	answerSlack = time.Second
-	maxRest     = 1500 * time.Millisecond
+	maxIdle     = 1500 * time.Millisecond
 	uploadGap   = 150 * time.Millisecond
 )
 
@@ -29,16 +29,16 @@
 
 // manners are the ways in which clients use their connections.
 var manners = []manner{
-	{"plain", 40, func(c *client, connection *Connection) bool { return c.exchange(connection, "plain", c.drawWork(), 1) }},
+	{"plain", 40, func(c *client, connection *Connection) bool { return c.exchange(connection, "plain", c.pickWork(), 1) }},
 	{"slow upload", 8, func(c *client, connection *Connection) bool {
-		return c.exchange(connection, "slow upload", c.drawWork(), 2+c.random.IntN(8))
+		return c.exchange(connection, "slow upload", c.pickWork(), 2+c.random.IntN(8))
 	}},
 	{"after a rest", 10, func(c *client, connection *Connection) bool {
-		pause(c.ctx, time.Duration(c.random.Int64N(int64(maxRest))))
-		return c.exchange(connection, "after a rest", c.drawWork(), 1)
+		sleep(c.ctx, time.Duration(c.random.Int64N(int64(maxIdle))))
+		return c.exchange(connection, "after a rest", c.pickWork(), 1)
 	}},
 	{"long stream", 8, func(c *client, connection *Connection) bool {
-		return c.exchange(connection, "long stream", c.drawLongStream(), 1)
+		return c.exchange(connection, "long stream", c.pickLongStream(), 1)
 	}},
 	{"pipelined", 12, (*client).pipeline},
 	{"canceled", 6, (*client).cancel},
@@ -59,18 +59,18 @@
 	for c.ctx.Err() == nil {
 		connection, err := Connect(c.fleet.System.Speech(), c.doors.pick(c.random))
 		if err != nil {
-			pause(c.ctx, restartDelay/4)
+			sleep(c.ctx, restartDelay/4)
 			continue
 		}
-		for c.ctx.Err() == nil && c.drawManner().do(c, connection) {
-			pause(c.ctx, time.Duration(c.random.IntN(30))*time.Millisecond)
+		for c.ctx.Err() == nil && c.pickManner().do(c, connection) {
+			sleep(c.ctx, time.Duration(c.random.IntN(30))*time.Millisecond)
 		}
 		connection.Close()
 	}
 }
 
-// drawManner draws a way to send.
-func (c *client) drawManner() manner {
+// pickManner draws a way to send.
+func (c *client) pickManner() manner {
 	total := 0
 	for _, m := range manners {
 		total += m.weight
@@ -84,24 +84,24 @@
 	return manners[0]
 }
 
-// drawWork draws what a replica is to do: mostly little.
-func (c *client) drawWork() Work {
+// pickWork draws what a replica is to do: mostly little.
+func (c *client) pickWork() Work {
 	kinds := int(kindCount)
 	if c.fleet.System.Speech().LastHeader == "" {
 		kinds--
 	}
 	w := Work{Kind: Kind(c.random.IntN(kinds)), Gap: time.Duration(c.random.IntN(200)) * time.Millisecond, Size: c.random.IntN(2000)}
 	if w.Kind.IsStream() {
-		w.Pieces, w.Gap, w.Size = 1+c.random.IntN(20), time.Duration(5+c.random.IntN(80))*time.Millisecond, c.random.IntN(200)
+		w.Chunks, w.Gap, w.Size = 1+c.random.IntN(20), time.Duration(5+c.random.IntN(80))*time.Millisecond, c.random.IntN(200)
 	}
 	return w
 }
 
-// drawLongStream draws a stream that may last through a whole grace.
-func (c *client) drawLongStream() Work {
-	const pieces = 40
+// pickLongStream draws a stream that may last through a whole grace.
+func (c *client) pickLongStream() Work {
+	const chunks = 40
 	length := c.fleet.Size.Grace/4 + time.Duration(c.random.Int64N(int64(c.fleet.Size.Grace)))
-	return Work{Kind: Stream, Pieces: pieces, Gap: length / pieces, Size: 50}
+	return Work{Kind: Stream, Chunks: chunks, Gap: length / chunks, Size: 50}
 }
 
 // attempt begins the record of a request.
@@ -118,38 +118,38 @@
 func (c *client) body() string { return strings.Repeat("b", c.random.IntN(3000)) }
 
 // exchange sends one request and takes its answer. A stream that was cut and may be resumed is.
-func (c *client) exchange(connection *Connection, name string, w Work, pieces int) (usable bool) {
+func (c *client) exchange(connection *Connection, name string, w Work, chunks int) (usable bool) {
 	a := c.attempt(connection, name, w, 0)
-	usable = c.send(connection, a, pieces) && c.receive(connection, a)
+	usable = c.send(connection, a, chunks) && c.receive(connection, a)
 	if !usable && a.Status/100 == 2 && !a.Complete && w.Kind == Resumable {
 		c.resume(a)
 	}
 	return usable
 }
 
-func (c *client) send(connection *Connection, a *Attempt, pieces int) bool {
-	err := connection.Send(a, c.body(), pieces, uploadGap)
+func (c *client) send(connection *Connection, a *Attempt, chunks int) bool {
+	err := connection.Send(a, c.body(), chunks, uploadGap)
 	if err != nil {
 		a.Ended = time.Now()
-		c.fleet.Ledger.noteAttempt(a)
+		c.fleet.Ledger.recordAttempt(a)
 	}
 	return err == nil
 }
 
 func (c *client) receive(connection *Connection, a *Attempt) (usable bool) {
 	usable = connection.Receive(a, a.Sent.Add(a.Deadline+answerSlack))
-	c.fleet.Ledger.noteAttempt(a)
+	c.fleet.Ledger.recordAttempt(a)
 	return usable
 }
 
 // resume takes a stream up at another connection, behind the last event that came whole.
-func (c *client) resume(cut *Attempt) {
+func (c *client) resume(broken *Attempt) {
 	connection, err := Connect(c.fleet.System.Speech(), c.doors.pick(c.random))
 	if err != nil {
 		return
 	}
 	defer connection.Close()
-	a := c.attempt(connection, "resumed", cut.Work, lastEvent(cut.Body))
+	a := c.attempt(connection, "resumed", broken.Work, lastEvent(broken.Body))
 	if c.send(connection, a, 1) {
 		c.receive(connection, a)
 	}
@@ -169,12 +169,12 @@
 
 // pipeline sends a request while the answer to the one before is under way.
 func (c *client) pipeline(connection *Connection) (usable bool) {
-	first := c.attempt(connection, "pipelined, first", c.drawWork(), 0)
+	first := c.attempt(connection, "pipelined, first", c.pickWork(), 0)
 	if !c.send(connection, first, 1) {
 		return false
 	}
-	pause(c.ctx, time.Duration(c.random.Int64N(int64(lossSlack/2)))) // its end is seen in time
-	second := c.attempt(connection, "pipelined, second", c.drawWork(), 0)
+	sleep(c.ctx, time.Duration(c.random.Int64N(int64(lossSlack/2)))) // its end is seen in time
+	second := c.attempt(connection, "pipelined, second", c.pickWork(), 0)
 	second.Behind = first
 	sent := connection.Send(second, c.body(), 1, 0) == nil
 	usable = c.receive(connection, first)
@@ -187,12 +187,12 @@
 
 // cancel sends a request and leaves before its answer is whole.
 func (c *client) cancel(connection *Connection) (usable bool) {
-	a := c.attempt(connection, "canceled", c.drawLongStream(), 0)
+	a := c.attempt(connection, "canceled", c.pickLongStream(), 0)
 	a.CanceledByClient = true
 	if c.send(connection, a, 1) {
-		pause(c.ctx, time.Duration(c.random.IntN(500))*time.Millisecond)
+		sleep(c.ctx, time.Duration(c.random.IntN(500))*time.Millisecond)
 		a.Ended = time.Now()
-		c.fleet.Ledger.noteAttempt(a)
+		c.fleet.Ledger.recordAttempt(a)
 	}
 	return false
 }
@@ -204,8 +204,8 @@
 	open  []Machine
 }
 
-// anyDoor is one in so many connections that goes to any edge machine, ready or not.
-const anyDoor = 10
+// unreadyRatio is one in so many connections that goes to any edge machine, ready or not.
+const unreadyRatio = 10
 
 // watch asks all edge machines again and again until the context ends.
 func (d *doors) watch(ctx context.Context) {
@@ -225,7 +225,7 @@
 		d.mu.Lock()
 		d.open = open
 		d.mu.Unlock()
-		pause(ctx, interval)
+		sleep(ctx, interval)
 	}
 }
 
@@ -233,7 +233,7 @@
 func (d *doors) pick(random *rand.Rand) Machine {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if all := d.fleet.Edges(); len(d.open) == 0 || random.IntN(anyDoor) == 0 {
+	if all := d.fleet.Edges(); len(d.open) == 0 || random.IntN(unreadyRatio) == 0 {
 		return all[random.IntN(len(all))]
 	}
 	return d.open[random.IntN(len(d.open))]
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -119,19 +119,19 @@
 	cancel          context.CancelFunc
 }
 
-// PlaceFleet takes a part of the loopback network and gives the machines of a fleet their places, below a folder. Nothing is started yet.
+// AllocateFleet takes a part of the loopback network and gives the machines of a fleet their places, below a folder. Nothing is started yet.
 // Stop ends the fleet, also after an error.
-func PlaceFleet(folder string, system System, size Size) (*Fleet, error) {
+func AllocateFleet(folder string, system System, size Size) (*Fleet, error) {
 	f := &Fleet{Size: size, System: system, Ledger: newLedger(), folder: folder, processes: map[string]*Process{}, commands: map[string][]Command{}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	err := f.findNetwork()
-	f.placeMachines()
+	f.allocateMachines()
 	return f, err
 }
 
 // NewFleet starts a whole fleet, configures it, and waits until it serves. Stop ends it, also after an error.
 func NewFleet(folder string, system System, size Size) (*Fleet, error) {
-	f, err := PlaceFleet(folder, system, size)
+	f, err := AllocateFleet(folder, system, size)
 	if err != nil {
 		return f, err
 	}
@@ -167,7 +167,7 @@
 
 func (f *Fleet) startReplicas() error {
 	for n := range f.Size.Replicas {
-		r, err := startReplica(fmt.Sprintf("i-%d", n+1), fmt.Sprintf("%s.200.%d:%d", f.network, n+1, replicaPort), f.System.Speech(), f.Ledger.noteRun)
+		r, err := startReplica(fmt.Sprintf("i-%d", n+1), fmt.Sprintf("%s.200.%d:%d", f.network, n+1, replicaPort), f.System.Speech(), f.Ledger.recordRun)
 		if err != nil {
 			return err
 		}
@@ -176,8 +176,8 @@
 	return nil
 }
 
-// placeMachines gives the machines their names, addresses, zones and seeds.
-func (f *Fleet) placeMachines() {
+// allocateMachines gives the machines their names, addresses, zones and seeds.
+func (f *Fleet) allocateMachines() {
 	const zones = 3
 	machine := func(kind string, subnet, n int) Machine {
 		name := fmt.Sprintf("%s-%d", kind, n+1)
@@ -253,8 +253,8 @@
 // supervise starts a process again whenever it has ended. The settings of later lives are no longer those of the first start.
 func (f *Fleet) supervise(p *Process, m Machine) {
 	for p != nil {
-		<-p.Gone()
-		if !pause(f.ctx, restartDelay) {
+		<-p.Exited()
+		if !sleep(f.ctx, restartDelay) {
 			return
 		}
 		m.FirstBoot = false
@@ -303,7 +303,7 @@
 	if !eventually(startLimit, func() bool { return f.System.Submit(ctx, f.Cores()[0], first) == Accepted }) {
 		return fmt.Errorf("the first configuration was not accepted within %v", startLimit)
 	}
-	f.Ledger.noteChange(first, Accepted, time.Now(), time.Now())
+	f.Ledger.recordChange(first, Accepted, time.Now(), time.Now())
 	for _, m := range f.Edges() {
 		if !eventually(startLimit, func() bool { return f.IsReady(ctx, m) && f.serves(m) }) {
 			return fmt.Errorf("%s did not serve within %v", m.Name, startLimit)
@@ -319,7 +319,7 @@
 		return false
 	}
 	defer connection.Close()
-	attempt := connection.NewAttempt("probe", "plain", Work{Kind: Repeatable}, time.Second, 0)
+	attempt := connection.NewAttempt("probe", "plain", Work{Kind: Idempotent}, time.Second, 0)
 	if connection.Send(attempt, "", 1, 0) != nil {
 		return false
 	}
@@ -357,7 +357,7 @@
 		if !p.EndsWithin(time.Until(limit)) {
 			stuck = append(stuck, p)
 			p.Signal(syscall.SIGKILL)
-			<-p.Gone()
+			<-p.Exited()
 		}
 	}
 	f.cancel()
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -16,7 +16,7 @@
 	RouteChange
 	TenantChange
 	LargeChange
-	RefusedChange
+	InvalidChange
 	changeKinds
 )
 
@@ -68,22 +68,22 @@
 
 func newLedger() *Ledger { return &Ledger{runs: map[string]*Run{}} }
 
-// noteRun takes a run's record, in place of its former one.
-func (l *Ledger) noteRun(r Run) {
+// recordRun takes a run's record, in place of its former one.
+func (l *Ledger) recordRun(r Run) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[r.Stamp] = &r
 }
 
-// noteAttempt takes an attempt that has ended.
-func (l *Ledger) noteAttempt(a *Attempt) {
+// recordAttempt takes an attempt that has ended.
+func (l *Ledger) recordAttempt(a *Attempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.attempts = append(l.attempts, a)
 }
 
-// noteRead takes an answered read of the configuration.
-func (l *Ledger) noteRead(core string, number int, sent time.Time) {
+// recordRead takes an answered read of the configuration.
+func (l *Ledger) recordRead(core string, number int, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads = append(l.reads, ConfigRead{core, number, sent})
@@ -101,8 +101,8 @@
 	return number
 }
 
-// noteChange takes a change once its verdict is known or no longer asked for.
-func (l *Ledger) noteChange(c Change, v Verdict, sent, answered time.Time) {
+// recordChange takes a change once its verdict is known or no longer asked for.
+func (l *Ledger) recordChange(c Change, v Verdict, sent, answered time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.changes = append(l.changes, SubmittedChange{c, v, sent, answered})
--- a/soak/phases.go
+++ b/soak/phases.go
@@ -66,7 +66,7 @@
 
 // eachCommand calls a part of a test for each process of a core and of an edge machine, in a fleet of which nothing runs.
 func eachCommand(t *testing.T, system System, play func(t *testing.T, c Command)) {
-	f, err := PlaceFleet(t.TempDir(), system, Size{Cores: 3, Edges: 1, Grace: phaseGrace})
+	f, err := AllocateFleet(t.TempDir(), system, Size{Cores: 3, Edges: 1, Grace: phaseGrace})
 	defer f.Stop()
 	if err != nil {
 		t.Fatal(err)
@@ -89,7 +89,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { p.Signal(syscall.SIGKILL); <-p.Gone() })
+	t.Cleanup(func() { p.Signal(syscall.SIGKILL); <-p.Exited() })
 	if !p.Writes(startedLine, phaseGrace) {
 		t.Fatalf("%s did not start: %s", c.Name, p.Output())
 	}
@@ -108,7 +108,7 @@
 				is.NoErr(syscall.Mkfifo(c.Settings, 0o600))
 				p, err := Start(c)
 				is.NoErr(err)
-				defer func() { p.Signal(syscall.SIGKILL); <-p.Gone() }()
+				defer func() { p.Signal(syscall.SIGKILL); <-p.Exited() }()
 				writer, err := os.OpenFile(c.Settings, os.O_WRONLY, 0) // when the process has opened it
 				is.NoErr(err)
 				flood(p, floodLength, last)
@@ -150,20 +150,20 @@
 		_, err = reader.Read(make([]byte, 1)) // it has written a line
 		is.NoErr(err)
 		is.NoErr(reader.Close())
-		gone := make(chan error, 1)
-		go func() { gone <- command.Wait() }()
+		ended := make(chan error, 1)
+		go func() { ended <- command.Wait() }()
 		for range 20 {
 			_ = command.Process.Signal(syscall.SIGHUP) // which it logs; the end is looked for below
 			time.Sleep(floodGap)
 		}
 		select {
-		case err := <-gone:
+		case err := <-ended:
 			t.Fatalf("%s ended by itself: %v", c.Name, err)
 		case <-time.After(floodLength):
 		}
 		is.NoErr(command.Process.Signal(syscall.SIGTERM))
 		select {
-		case err := <-gone:
+		case err := <-ended:
 			is.NoErr(err)
 		case <-time.After(phaseGrace):
 			_ = command.Process.Kill() // it runs, as the failure says
@@ -200,7 +200,7 @@
 		connection, err := Connect(system.Speech(), edge)
 		is.NoErr(err)
 		defer connection.Close()
-		streams[n] = connection.NewAttempt(edge.Name, "plain", Work{Kind: Stream, Pieces: 40, Gap: 100 * time.Millisecond, Size: 10}, 20*time.Second, 0)
+		streams[n] = connection.NewAttempt(edge.Name, "plain", Work{Kind: Stream, Chunks: 40, Gap: 100 * time.Millisecond, Size: 10}, 20*time.Second, 0)
 		is.NoErr(connection.Send(streams[n], "a body", 1, 0))
 		go func() {
 			connection.Receive(streams[n], time.Now().Add(2*phaseGrace))
@@ -222,9 +222,9 @@
 			draining = append(draining, p)
 		}
 	}
-	gone := make(chan struct{})
+	stopped := make(chan struct{})
 	for _, p := range draining {
-		go func() { expectOrderlyEnd(t, p); gone <- struct{}{} }()
+		go func() { expectOrderlyEnd(t, p); stopped <- struct{}{} }()
 	}
 	for range streams {
 		if stream := <-ended; !stream.IsServed() {
@@ -232,6 +232,6 @@
 		}
 	}
 	for range draining {
-		<-gone
+		<-stopped
 	}
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -62,7 +62,7 @@
 	Started time.Time
 
 	cmd     *exec.Cmd
-	gone    chan struct{}
+	exited  chan struct{}
 	mu      sync.Mutex
 	output  bytes.Buffer
 	signals []SentSignal
@@ -71,7 +71,7 @@
 
 // Start starts a command. What it writes is kept.
 func Start(c Command) (*Process, error) {
-	p := &Process{Command: c, Started: time.Now(), gone: make(chan struct{}), cmd: exec.Command(c.Path, c.Args...)}
+	p := &Process{Command: c, Started: time.Now(), exited: make(chan struct{}), cmd: exec.Command(c.Path, c.Args...)}
 	p.cmd.Env = append(os.Environ(), c.Env...)
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -83,7 +83,7 @@
 		p.mu.Lock()
 		p.ended = time.Now()
 		p.mu.Unlock()
-		close(p.gone)
+		close(p.exited)
 	}()
 	return p, nil
 }
@@ -152,13 +152,13 @@
 	return first, false
 }
 
-// Gone is closed when the process has ended.
-func (p *Process) Gone() <-chan struct{} { return p.gone }
+// Exited is closed when the process has ended.
+func (p *Process) Exited() <-chan struct{} { return p.exited }
 
 // EndsWithin waits for the end of the process, and reports whether it came in time.
 func (p *Process) EndsWithin(limit time.Duration) bool {
 	select {
-	case <-p.gone:
+	case <-p.exited:
 		return true
 	case <-time.After(limit):
 		return !p.Runs()
@@ -188,8 +188,8 @@
 
 // eventually asks again and again until the answer is yes, and reports whether that came in time.
 func eventually(limit time.Duration, so func() bool) bool {
-	const pause = 5 * time.Millisecond
-	for end := time.Now().Add(limit); !so(); time.Sleep(pause) {
+	const interval = 5 * time.Millisecond
+	for end := time.Now().Add(limit); !so(); time.Sleep(interval) {
 		if time.Now().After(end) {
 			return false
 		}
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -70,7 +70,7 @@
 // Speech is the chat protocol's, whose routers name requests; the client's tag is a header of its own.
 func (programs) Speech() soak.Speech {
 	return soak.Speech{
-		Host: "a.example", TagHeader: "X-Tag", IDHeader: "X-Request-Id", StampHeader: "X-Stamp", EndMark: "data: [DONE]",
+		Host: "a.example", TagHeader: "X-Tag", IDHeader: "X-Request-Id", StampHeader: "X-Stamp", StreamEnd: "data: [DONE]",
 		Lines: func(_ soak.Kind, deadline time.Duration) []string {
 			return []string{"Authorization: Bearer none", "X-Deadline-Ms: " + strconv.FormatInt(deadline.Milliseconds(), 10)}
 		},
@@ -164,7 +164,7 @@
 		more = 400
 	case soak.TenantChange:
 		parts[0] = strings.TrimSuffix(parts[0], "]") + fmt.Sprintf(`,{"name":"t-%d"}]`, c.Number)
-	case soak.RefusedChange:
+	case soak.InvalidChange:
 		parts = append(parts, `"paths":[{"name":"broken","address":"/broken/","pool":"none"}]`)
 	}
 	var paths []string
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -20,7 +20,7 @@
 
 // The kinds of routes. A stream may not be repeated unless it may be resumed.
 const (
-	Repeatable Kind = iota
+	Idempotent Kind = iota
 	Once
 	Stream
 	Resumable
@@ -30,8 +30,8 @@
 // String names the kind as the routes of a soak do.
 func (k Kind) String() string { return [kindCount]string{"again", "once", "stream", "resumed"}[k] }
 
-// IsRepeatable reports whether a request of the kind may be executed more than once.
-func (k Kind) IsRepeatable() bool { return k == Repeatable || k == Resumable }
+// IsIdempotent reports whether a request of the kind may be executed more than once.
+func (k Kind) IsIdempotent() bool { return k == Idempotent || k == Resumable }
 
 // IsStream reports whether a request of the kind is answered by events.
 func (k Kind) IsStream() bool { return k == Stream || k == Resumable }
@@ -43,7 +43,7 @@
 	IDHeader    string // the id that a replica's answer has to bear
 	StampHeader string // of a replica's answer: unique to the run
 	LastHeader  string // of a stream that is taken up: the last event that the client has; empty: there is no such thing
-	EndMark     string // after a stream's last event; empty: the framing tells the end
+	StreamEnd   string // after a stream's last event; empty: the framing tells the end
 	// Lines are the header lines of a request that the client waits for so long.
 	Lines func(kind Kind, deadline time.Duration) []string
 	// Serve adds what replicas serve besides requests.
@@ -53,21 +53,21 @@
 // Work tells a replica what to do with a request. Clients put it into the request's path, which reaches replicas unchanged.
 type Work struct {
 	Kind   Kind
-	Pieces int           // of a stream
+	Chunks int           // of a stream
 	Gap    time.Duration // before each piece; before the answer, where there are none
 	Size   int           // of the answer, or of each piece
 }
 
 // Path is the path of a request for the work.
 func (w Work) Path() string {
-	return fmt.Sprintf("/%s/%d/%d/%d", w.Kind, w.Pieces, w.Gap.Milliseconds(), w.Size)
+	return fmt.Sprintf("/%s/%d/%d/%d", w.Kind, w.Chunks, w.Gap.Milliseconds(), w.Size)
 }
 
 // readWork reads a request's path.
 func readWork(path string) (w Work, err error) {
 	var kind string
 	var gap int
-	_, err = fmt.Sscanf(strings.ReplaceAll(path, "/", " "), "%s %d %d %d", &kind, &w.Pieces, &gap, &w.Size)
+	_, err = fmt.Sscanf(strings.ReplaceAll(path, "/", " "), "%s %d %d %d", &kind, &w.Chunks, &gap, &w.Size)
 	for w.Kind = 0; w.Kind < kindCount && w.Kind.String() != kind; w.Kind++ {
 	}
 	w.Gap = time.Duration(gap) * time.Millisecond
@@ -78,7 +78,7 @@
 }
 
 // Length is how long the work takes.
-func (w Work) Length() time.Duration { return time.Duration(max(1, w.Pieces)) * w.Gap }
+func (w Work) Length() time.Duration { return time.Duration(max(1, w.Chunks)) * w.Gap }
 
 // Run is a replica's record of one request that it executed.
 type Run struct {
@@ -93,7 +93,7 @@
 type Replica struct {
 	Name, Address string
 	speech        Speech
-	note          func(Run)
+	record        func(Run)
 	draining      atomic.Bool
 	number        atomic.Uint64
 	server        http.Server
@@ -101,12 +101,12 @@
 }
 
 // startReplica starts a replica at an address. Each run is noted when it begins and once more when it has ended.
-func startReplica(name, address string, speech Speech, note func(Run)) (*Replica, error) {
+func startReplica(name, address string, speech Speech, record func(Run)) (*Replica, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	r := &Replica{Name: name, Address: address, speech: speech, note: note}
+	r := &Replica{Name: name, Address: address, speech: speech, record: record}
 	mux := http.NewServeMux()
 	speech.Serve(mux, r)
 	mux.HandleFunc("/", r.serve)
@@ -139,7 +139,7 @@
 		Tag: q.Header.Get(r.speech.TagHeader), Replica: r.Name, Began: time.Now(), After: after,
 		Stamp: fmt.Sprintf("%s.%d", r.Name, r.number.Add(1)),
 	}
-	r.note(run)
+	r.record(run)
 	if r.Draining() {
 		w.Header().Set("Connection", "close")
 	}
@@ -151,12 +151,12 @@
 		run.Body, run.Complete = r.answer(q.Context(), w, work, run)
 	}
 	run.Ended = time.Now()
-	r.note(run)
+	r.record(run)
 }
 
 // answer writes an answer of one piece.
 func (r *Replica) answer(ctx context.Context, w http.ResponseWriter, work Work, run Run) (body string, complete bool) {
-	if !pause(ctx, work.Gap) {
+	if !sleep(ctx, work.Gap) {
 		return "", false
 	}
 	body = fmt.Sprintf("%s %s %s", run.Tag, run.Stamp, strings.Repeat("y", work.Size))
@@ -169,8 +169,10 @@
 func (r *Replica) stream(ctx context.Context, w http.ResponseWriter, work Work, run Run) (body string, complete bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	out, flush := bufio.NewWriter(w), http.NewResponseController(w)
-	for n := run.After + 1; n <= uint64(work.Pieces); n++ {
-		if !pause(ctx, work.Gap) {
+	due := run.Began
+	for n := run.After + 1; n <= uint64(work.Chunks); n++ {
+		due = due.Add(work.Gap)
+		if !sleep(ctx, time.Until(due)) {
 			return body, false
 		}
 		event := fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, run.Tag, strings.Repeat("x", work.Size))
@@ -180,12 +182,12 @@
 		}
 		body += event
 	}
-	_, err := io.WriteString(w, r.speech.EndMark)
-	return body + r.speech.EndMark, err == nil
+	_, err := io.WriteString(w, r.speech.StreamEnd)
+	return body + r.speech.StreamEnd, err == nil
 }
 
-// pause waits, and reports whether the context is still there.
-func pause(ctx context.Context, d time.Duration) bool {
+// sleep waits, and reports whether the context is still there.
+func sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
@@ -207,17 +209,17 @@
 }
 
 // replaceReplica takes a replica that has drained off the list, and starts another one in its place.
-func (f *Fleet) replaceReplica(leaving *Replica) {
+func (f *Fleet) replaceReplica(drained *Replica) {
 	f.mu.Lock()
-	at := slices.Index(f.Replicas, leaving)
+	at := slices.Index(f.Replicas, drained)
 	f.mu.Unlock()
 	if at < 0 {
 		return // another series has replaced it
 	}
-	host, _, _ := net.SplitHostPort(leaving.Address) // it was made by us
+	host, _, _ := net.SplitHostPort(drained.Address) // it was made by us
 	f.nextReplicaPort.Add(1)
 	address := net.JoinHostPort(host, strconv.Itoa(replicaPort+int(f.nextReplicaPort.Load())))
-	next, err := startReplica(fmt.Sprintf("%s+%d", leaving.Name, f.nextReplicaPort.Load()), address, f.System.Speech(), f.Ledger.noteRun)
+	next, err := startReplica(fmt.Sprintf("%s+%d", drained.Name, f.nextReplicaPort.Load()), address, f.System.Speech(), f.Ledger.recordRun)
 	if err != nil {
 		f.Ledger.fail("replica: %v", err)
 		return
@@ -228,8 +230,8 @@
 	f.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), replicaClose)
 	defer cancel()
-	_ = leaving.server.Shutdown(ctx) // what runs there ends first
-	leaving.running.Wait()
+	_ = drained.server.Shutdown(ctx) // what runs there ends first
+	drained.running.Wait()
 }
 
 // ListedReplicas are the replicas that the list has.
--- a/soak/report.go
+++ b/soak/report.go
@@ -91,11 +91,11 @@
 	fmt.Fprintf(table, "changes\taccepted %d, rejected %d, unclear %d\n", r.changes[Accepted], r.changes[Rejected], r.changes[Unclear])
 	for phase := range phaseCount {
 		if len(r.signals[phase]) > 0 {
-			named := map[string]int{}
+			byName := map[string]int{}
 			for s, n := range r.signals[phase] {
-				named[s.String()] = n
+				byName[s.String()] = n
 			}
-			fmt.Fprintf(table, "signals, %v\t%s\n", phase, counted(named))
+			fmt.Fprintf(table, "signals, %v\t%s\n", phase, counted(byName))
 		}
 	}
 	for _, role := range slices.Sorted(maps.Keys(r.peaks)) {
--- a/soak/run.go
+++ b/soak/run.go
@@ -43,8 +43,8 @@
 }
 
 const (
-	// restLength is how long a fleet is left alone before it is looked at.
-	restLength = 3 * time.Second
+	// idleLength is how long a fleet is left alone before it is looked at.
+	idleLength = 3 * time.Second
 	// numberOf streams of random numbers.
 	scriptStream, clientStream = 1, 1000
 )
@@ -64,7 +64,7 @@
 	r.play()
 	fleet.setOnStart(nil)
 	check := newCheck(fleet, plan)
-	check.rest(result.Peaks)
+	check.inspectIdle(result.Peaks)
 	check.stuck(fleet.Stop())
 	result.Lives = fleet.Lives()
 	check.all()
@@ -118,10 +118,10 @@
 }
 
 // setOnStart has a function told of each life that starts from now on; nil: none.
-func (f *Fleet) setOnStart(told func(Machine, *Process)) {
+func (f *Fleet) setOnStart(notify func(Machine, *Process)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.onStart = told
+	f.onStart = notify
 }
 
 // operator changes the configuration, one change at a time.
@@ -154,10 +154,10 @@
 		verdict = o.fleet.System.Submit(ctx, o.core(core, n), change)
 		cancel()
 		if verdict == Unclear {
-			pause(o.fleet.ctx, restartDelay)
+			sleep(o.fleet.ctx, restartDelay)
 		}
 	}
-	o.fleet.Ledger.noteChange(change, verdict, sent, time.Now())
+	o.fleet.Ledger.recordChange(change, verdict, sent, time.Now())
 }
 
 // core is the nth core after one.
@@ -179,7 +179,7 @@
 		number, err := o.fleet.System.Read(ctx, core)
 		cancel()
 		if err == nil {
-			o.fleet.Ledger.noteRead(core.Name, number, sent)
+			o.fleet.Ledger.recordRead(core.Name, number, sent)
 			return number, true
 		}
 	}
@@ -188,14 +188,14 @@
 
 // readAlong reads the configuration again and again, from each core in turn.
 func (o *operator) readAlong(ctx context.Context) {
-	for n := 0; pause(ctx, readInterval); n++ {
+	for n := 0; sleep(ctx, readInterval); n++ {
 		o.read(o.core(o.fleet.Cores()[0], n))
 	}
 }
 
 // finish reads the configuration from every core once nothing happens any more.
 func (o *operator) finish() {
-	pause(o.fleet.ctx, restLength)
+	sleep(o.fleet.ctx, idleLength)
 	for _, core := range o.fleet.Cores() {
 		if !eventually(startLimit, func() bool { return o.readsNewest(core) }) {
 			o.fleet.Ledger.fail("CONFIG: %s does not give the newest accepted configuration", core.Name)
--- a/soak/script.go
+++ b/soak/script.go
@@ -20,9 +20,9 @@
 
 // series draws events that belong together: several of one kind to one machine or process, some milliseconds to some seconds apart.
 type series struct {
-	name   string
-	weight int
-	draw   func(s *scriptWriter, at time.Duration) []event
+	name     string
+	weight   int
+	generate func(s *scriptWriter, at time.Duration) []event
 }
 
 // allSeries are the series of a script. They overlap.
@@ -60,7 +60,7 @@
 		n := s.random.IntN(total)
 		for _, one := range allSeries {
 			if n -= one.weight; n < 0 {
-				all = append(all, one.draw(s, at)...)
+				all = append(all, one.generate(s, at)...)
 				break
 			}
 		}
@@ -70,8 +70,8 @@
 }
 
 // between draws a time between two, small ones as often as large ones.
-func (s *scriptWriter) between(least, most time.Duration) time.Duration {
-	low, high := math.Log(float64(least)), math.Log(float64(most))
+func (s *scriptWriter) between(shortest, longest time.Duration) time.Duration {
+	low, high := math.Log(float64(shortest)), math.Log(float64(longest))
 	return time.Duration(math.Exp(low + s.random.Float64()*(high-low)))
 }
 
@@ -99,18 +99,18 @@
 	return event{at, fmt.Sprintf("%s%v gets %v", m.Name, roles, sent), func(r *run) { r.signal(m, roles, sent) }}
 }
 
-// drawSignals are the signals that may come to a process at any time without ending it, or while it stops.
-func (s *scriptWriter) drawSignals(from []syscall.Signal) syscall.Signal {
+// pickSignal picks one of some signals.
+func (s *scriptWriter) pickSignal(from []syscall.Signal) syscall.Signal {
 	return from[s.random.IntN(len(from))]
 }
 
 // stop tells processes to stop, and sends them signals meanwhile.
 func (s *scriptWriter) stop(at time.Duration) (all []event) {
 	m, roles := s.target(at, true)
-	all = append(all, signal(at, m, roles, s.drawSignals([]syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGINT})))
+	all = append(all, signal(at, m, roles, s.pickSignal([]syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGINT})))
 	for range s.random.IntN(6) {
 		later := at + s.between(time.Millisecond, s.fleet.Size.Grace)
-		all = append(all, signal(later, m, roles, s.drawSignals([]syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGPIPE})))
+		all = append(all, signal(later, m, roles, s.pickSignal([]syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGPIPE})))
 	}
 	return all
 }
@@ -119,7 +119,7 @@
 func (s *scriptWriter) reload(at time.Duration) (all []event) {
 	m, roles := s.target(at, false)
 	for range 1 + s.random.IntN(10) {
-		all = append(all, signal(at, m, roles, s.drawSignals(harmless)))
+		all = append(all, signal(at, m, roles, s.pickSignal(harmless)))
 		at += s.between(time.Millisecond, time.Second)
 	}
 	return all
@@ -144,7 +144,7 @@
 	sent := make([]syscall.Signal, 1+s.random.IntN(4))
 	gaps := make([]time.Duration, len(sent))
 	for n := range sent {
-		sent[n], gaps[n] = s.drawSignals([]syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT}), s.between(time.Millisecond, 500*time.Millisecond)
+		sent[n], gaps[n] = s.pickSignal([]syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT}), s.between(time.Millisecond, 500*time.Millisecond)
 	}
 	arm := event{at, m.Name + " gets signals at its next start", func(r *run) { r.arm(m, sent, gaps) }}
 	return []event{arm, signal(at, m, roles, syscall.SIGKILL)}
@@ -164,10 +164,10 @@
 // drainReplica has a replica drain, and another one come in its place.
 func (s *scriptWriter) drainReplica(at time.Duration) []event {
 	const drain = 4 * time.Second
-	var leaving *Replica
+	var drained *Replica
 	return []event{
-		{at, "a replica drains", func(r *run) { leaving = r.fleet.drainReplica(s.random.IntN(s.fleet.Size.Replicas)) }},
-		{at + drain, "it has left", func(r *run) { r.fleet.replaceReplica(leaving) }},
+		{at, "a replica drains", func(r *run) { drained = r.fleet.drainReplica(s.random.IntN(s.fleet.Size.Replicas)) }},
+		{at + drain, "it has left", func(r *run) { r.fleet.replaceReplica(drained) }},
 	}
 }
 
@@ -182,7 +182,7 @@
 	return []event{{at, m.Name + " loses its disk", func(r *run) {
 		r.signal(m, []int{0}, syscall.SIGKILL)
 		for _, p := range r.fleet.On(m) {
-			<-p.Gone()
+			<-p.Exited()
 		}
 		if err := os.RemoveAll(m.Data()); err != nil {
 			r.fleet.Ledger.fail("disk: %v", err)
--- a/soak/seeds.go
+++ b/soak/seeds.go
@@ -29,19 +29,20 @@
 
 // Sizes of drawn fleets.
 const (
-	leastCores, mostCores = 3, 5
-	leastEdges, mostEdges = 2, 5
-	planStream            = 2
+	minCores, maxCores = 3, 5
+	minEdges, maxEdges = 2, 5
+	minGrace, maxGrace = 6, 9 // in seconds; shorter ones leave less for a busy machine
+	planStream         = 2
 )
 
 // plan draws what a seed plays.
 func (f *Flags) plan(seed uint64) Plan {
 	random := rand.New(rand.NewPCG(seed, planStream))
-	between := func(least, most int) int { return least + random.IntN(most-least+1) }
-	size := Size{Cores: between(leastCores, mostCores), Edges: between(leastEdges, mostEdges), Replicas: between(2, 6), Grace: time.Duration(between(4, 8)) * time.Second}
+	between := func(low, high int) int { return low + random.IntN(high-low+1) }
+	size := Size{Cores: between(minCores, maxCores), Edges: between(minEdges, maxEdges), Replicas: between(2, 6), Grace: time.Duration(between(minGrace, maxGrace)) * time.Second}
 	if *f.processes > 0 {
-		size.Cores = min(mostCores, max(leastCores, *f.processes/10))
-		size.Edges = max(leastEdges, (*f.processes-size.Cores)/2)
+		size.Cores = min(maxCores, max(minCores, *f.processes/10))
+		size.Edges = max(minEdges, (*f.processes-size.Cores)/2)
 	}
 	const clientsOfAnEdge = 6
 	return Plan{Seed: seed, Size: size, Clients: clientsOfAnEdge * size.Edges, Length: *f.length}
