A stopping proxy ends a connection by its next read, so that what was read is answered

Ruled out: the signals (one SIGTERM, no SIGHUP near), the grace, the replica.

Change: connections are ended by way of their next read, which either has bytes, and then the request is served and its answer ends the connection, or fails without any. Kept connections are served during the linger; the listener is closed and accepting has ended before the last look. TestRequestThatWasReadBeforeItsConnectionEndsIsAnswered (fake time) is red without it.

--- /dev/null
+++ b/proxy/drain_test.go
@@ -0,0 +1,115 @@
+package proxy_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"asterridge/daemon"
+	"asterridge/proxy"
+	"asterridge/sim"
+)
+
+// heldListener hands out one connection in memory. While it is held, what a read has taken from the connection does not return to its reader:
+// so it is on a machine whose processor is busy elsewhere.
+type heldListener struct {
+	accepted chan net.Conn
+	once     sync.Once
+	held     atomic.Bool
+	release  chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	conn, open := <-l.accepted
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return heldConn{conn, l}, nil
+}
+
+func (l *heldListener) Close() error {
+	l.once.Do(func() { close(l.accepted) })
+	return nil
+}
+
+func (l *heldListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+type heldConn struct {
+	net.Conn
+	listener *heldListener
+}
+
+func (c heldConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.listener.held.Load() {
+		<-c.listener.release
+	}
+	return n, err
+}
+
+// A request on a kept connection that was read just when the proxy was told to stop, or whose connection had been idle for just as long as it
+// may, is answered.
+func TestRequestThatWasReadBeforeItsConnectionEndsIsAnswered(t *testing.T) {
+	const idle, linger = 15 * time.Second, 2 * time.Second
+	for name, options := range map[string]proxy.Options{
+		"stopped":                    {Grace: 8 * time.Second},
+		"stopped, serving on first":  {Grace: 8 * time.Second, ReadinessLinger: linger},
+		"idle for as long as it may": {IdleTimeout: idle},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				network := sim.NewNetwork(time.Millisecond)
+				defer network.End()
+				host := network.Host("10.0.0.1")
+				options.Agent, options.Admin = "10.0.0.1:7001", "10.0.0.1:7003"
+				p := proxy.New(daemon.Host{Name: "proxy-1", Fleet: "test", Net: host, Log: zerolog.Nop()}, options)
+				admin, err := host.Listen(options.Admin)
+				is.NoErr(err)
+				listener := &heldListener{accepted: make(chan net.Conn), release: make(chan struct{})}
+				ctx, stop := context.WithCancel(context.Background())
+				ended := make(chan error)
+				go func() { ended <- p.Serve(ctx, listener, admin) }()
+				ours, theirs := net.Pipe()
+				listener.accepted <- theirs
+				in := bufio.NewReader(ours)
+				ask := func() {
+					_, err := io.WriteString(ours, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb")
+					is.NoErr(err)
+				}
+				answered := func() {
+					answer, err := http.ReadResponse(in, nil)
+					is.NoErr(err)
+					_, err = io.ReadAll(answer.Body)
+					is.NoErr(err)
+				}
+				ask()
+				answered()
+				time.Sleep(options.IdleTimeout - time.Millisecond)
+				listener.held.Store(true)
+				ask()
+				synctest.Wait() // it was read
+				if options.IdleTimeout == 0 {
+					stop()
+				}
+				time.Sleep(2 * linger)
+				listener.held.Store(false)
+				close(listener.release)
+				answered()
+				stop()
+				_ = ours.Close() // the client leaves
+				is.NoErr(<-ended)
+			})
+		})
+	}
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -6,11 +6,11 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"asterridge/daemon"
 	"asterridge/router"
-	"asterridge/rpc"
 )
 
 // Options of a proxy. Zero values are those of router.Options, but where another default is given.
@@ -47,9 +47,10 @@
 
 // Proxy serves clients' requests.
 type Proxy struct {
-	Router  *router.Router
-	host    daemon.Host
-	options Options
+	Router   *router.Router
+	host     daemon.Host
+	options  Options
+	draining atomic.Bool
 }
 
 // New makes a proxy.
@@ -88,17 +89,22 @@
 	defer cancel()
 	go p.Router.Run(running)
 	go p.serveAdmin(running, admin)
-	server := newServer(p.Router.Handler(), func() connectionTimeouts { return effectiveTimeouts(p.Router.Limits(), p.options) })
-	failed := make(chan error, 1)
-	listener := timeoutListener{router.Watch(server, clients)}
-	go func() { failed <- server.Serve(listener) }()
+	server := newServer(p.closeWhileDraining(p.Router.Handler()), func() connectionTimeouts { return effectiveTimeouts(p.Router.Limits(), p.options) })
+	connections, accepting := newConnectionSet(), make(chan struct{})
+	listener := timeoutListener{router.Watch(server, clients), connections}
+	var failure error
+	go func() {
+		defer close(accepting)
+		failure = server.Serve(listener)
+	}()
 	p.host.Log.Info().Str("address", p.host.Address).Msg("proxy started")
 	select {
-	case err := <-failed:
-		return err
+	case <-accepting:
+		return failure
 	case <-ctx.Done():
 	}
-	p.shutDown(running, server)
+	stopAccepting := func() { _ = clients.Close() } // the server may have closed it after a failure
+	p.shutDown(running, server, connections, stopAccepting, accepting)
 	p.host.Log.Info().Msg("proxy stopped")
 	return nil
 }
@@ -112,18 +118,3 @@
 		p.host.Log.Error().Err(err).Msg("listener for queries failed")
 	}
 }
-
-// shutDown ends the proxy within the grace.
-func (p *Proxy) shutDown(ctx context.Context, server *http.Server) {
-	ctx, cancel := context.WithTimeout(ctx, p.options.Grace)
-	defer cancel()
-	p.Router.Drain()
-	if p.options.ReadinessLinger > 0 {
-		server.SetKeepAlivesEnabled(false)            // each answer ends its connection
-		_ = rpc.Sleep(ctx, p.options.ReadinessLinger) // it ends sooner if the grace does
-	}
-	p.Router.Stop(ctx)
-	if server.Shutdown(ctx) != nil {
-		_ = server.Close() // the grace is over
-	}
-}
--- a/proxy/timeouts.go
+++ b/proxy/timeouts.go
@@ -50,7 +50,10 @@
 }
 
 // timeoutListener wraps the connections that it accepts.
-type timeoutListener struct{ net.Listener }
+type timeoutListener struct {
+	net.Listener
+	connections *connectionSet
+}
 
 // Accept waits for the next caller's connection.
 func (l timeoutListener) Accept() (net.Conn, error) {
@@ -58,16 +61,47 @@
 	if err != nil {
 		return nil, err
 	}
-	return &timeoutConn{Conn: conn}, nil
+	wrapped := &timeoutConn{Conn: conn, connections: l.connections}
+	l.connections.add(wrapped)
+	return wrapped, nil
 }
 
 // timeoutConn closes itself when it has been idle, or a header has been under way, for too long.
 type timeoutConn struct {
 	net.Conn
+	connections *connectionSet
+
 	mu     sync.Mutex
 	timer  *time.Timer // runs while the connection is idle or a header is arriving
 	header time.Duration
-	idle   bool // idle: no byte of the next request has arrived
+	idle   bool // no byte of the next request was read
+	// headerEnd is when the header that is arriving has to be whole; zero while none is.
+	headerEnd time.Time
+	// interrupted: the read under way fails unless it has bytes already.
+	interrupted bool
+}
+
+// interruptIdle ends the connection unless something of a request was read. The read that waits for it fails, and so the server closes it;
+// a read that has bytes at the same moment goes on.
+func (c *timeoutConn) interruptIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		c.interrupt()
+	}
+}
+
+// interrupt has the read under way fail, or the next one; c.mu is held.
+func (c *timeoutConn) interrupt() {
+	c.interrupted = true
+	_ = c.Conn.SetReadDeadline(time.Unix(0, 1)) // long past; a connection that is closed already is what is wanted
+}
+
+// Close closes the connection.
+func (c *timeoutConn) Close() error {
+	c.connections.remove(c)
+	c.stopIdle()
+	return c.Conn.Close()
 }
 
 // startIdle begins to wait for a request.
@@ -76,7 +110,20 @@
 	defer c.mu.Unlock()
 	c.stop()
 	c.idle, c.header = true, times.header
-	c.timer = time.AfterFunc(times.idle, func() { _ = c.Conn.Close() }) // a connection that is closed already is what is wanted
+	c.timer = time.AfterFunc(times.idle, c.expire)
+}
+
+// expire ends the connection whose time is over: an idle one by its next read, one whose header does not come at once. The time of a header
+// that began just now has not run out.
+func (c *timeoutConn) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.idle:
+		c.interrupt()
+	case !c.headerEnd.IsZero() && !time.Now().Before(c.headerEnd):
+		_ = c.Conn.Close() // a connection that is closed already is what is wanted
+	}
 }
 
 // stopIdle ends the wait: a whole header has arrived, or the connection is closed.
@@ -87,7 +134,7 @@
 }
 
 func (c *timeoutConn) stop() {
-	c.idle = false
+	c.idle, c.headerEnd = false, time.Time{}
 	if c.timer != nil {
 		c.timer.Stop()
 	}
@@ -111,9 +158,13 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.idle {
-			c.idle = false
+			c.idle, c.headerEnd = false, time.Now().Add(c.header)
 			c.timer.Reset(c.header)
 		}
+		if c.interrupted {
+			c.interrupted = false
+			_ = c.Conn.SetReadDeadline(time.Time{}) // the request is served; as above
+		}
 	}
 	return n, err
 }
--- a/proxy/timeouts_test.go
+++ b/proxy/timeouts_test.go
@@ -57,7 +57,7 @@
 		})
 		server := newServer(handler, func() connectionTimeouts { return effectiveTimeouts(*limits, options) })
 		listener := newPipeListener()
-		go func() { _ = server.Serve(timeoutListener{listener}) }()
+		go func() { _ = server.Serve(timeoutListener{listener, newConnectionSet()}) }()
 		defer server.Close()
 		play(is.New(t), listener.dial, limits)
 	})
