--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -95,6 +95,7 @@
 				}
 				ask()
 				answered()
+				synctest.Wait() // the server waits for the next request
 				time.Sleep(options.IdleTimeout - time.Millisecond)
 				listener.held.Store(true)
 				ask()
