--- a/deployment/bounds.go
+++ b/deployment/bounds.go
@@ -7,6 +7,7 @@
 
 	"asterridge/agent"
 	"asterridge/controlplane"
+	"asterridge/daemon"
 	"asterridge/membership"
 	"asterridge/protocol"
 	"asterridge/proxy"
@@ -53,10 +54,9 @@
 	proxyStopDivisor = 8
 	agentStopDivisor = 10
 	// The grace by agentCloseDivisor and by coreCloseDivisor is what running answers may take when the process closes its listeners, up to
-	// closeTimeout.
+	// daemon.CloseTimeout.
 	agentCloseDivisor = 20
 	coreCloseDivisor  = 4
-	closeTimeout      = time.Second
 	// readinessLinger covers two of the platform's checks of readiness.
 	readinessLinger = 2200 * time.Millisecond
 	// claimRetention is how long clients' idempotency keys are remembered.
@@ -82,7 +82,7 @@
 		UndecidedLimit: b.maxStaleness(),
 		WatchWait:      watchWait,
 		Grace:          b.Grace - b.Grace/agentStopDivisor,
-		CloseTimeout:   min(closeTimeout, b.Grace/agentCloseDivisor),
+		CloseTimeout:   min(daemon.CloseTimeout, b.Grace/agentCloseDivisor),
 	}
 }
 
@@ -109,6 +109,6 @@
 		WatchWait:      coreWatchWait,
 		Tolerance:      b.Tolerance,
 		LeaveTimeout:   min(controlplane.MaxLeaveTimeout, b.Grace/2),
-		CloseTimeout:   min(closeTimeout, b.Grace/coreCloseDivisor),
+		CloseTimeout:   min(daemon.CloseTimeout, b.Grace/coreCloseDivisor),
 	}
 }
--- a/soak/client.go
+++ b/soak/client.go
@@ -116,8 +116,3 @@
 
 // IsServed reports whether the client has a replica's whole answer.
 func (a *Attempt) IsServed() bool { return a.Complete && a.Status == http.StatusOK && a.Stamp != "" }
-
-// IsTimeout reports whether a client has given up its wait.
-func (a *Attempt) IsTimeout() bool {
-	return strings.Contains(a.Failure, "i/o timeout")
-}
