daemon: a red test, requests that were read when a daemon closes its listener

Change: a test that holds a read while the daemon stops, and the listener of the proxy's test for it in package sim. The idle time-out is exported for the test; its value is as before.

Ruled out: an idle connection as cause of the end; the request is whole and was read before the context ended.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,7 +34,7 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
+	IdleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
 	// CloseTimeout is how long running answers may take when a daemon closes its listeners, where its options do not say.
 	CloseTimeout = time.Second
@@ -42,7 +42,7 @@
 
 // Serve answers on a listener until the context ends, and then lets running answers finish for the grace.
 func Serve(ctx context.Context, listener net.Listener, handler http.Handler, grace time.Duration) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: IdleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	select {
--- /dev/null
+++ b/daemon/server_test.go
@@ -0,0 +1,64 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"asterridge/daemon"
+	"asterridge/sim"
+)
+
+// A request on a kept connection that was read just when a daemon closes its listener, or whose connection had been idle for just as long as
+// it may, is answered.
+func TestServeAnswersARequestThatWasReadBeforeItsConnectionEnds(t *testing.T) {
+	const grace = 8 * time.Second
+	for name, end := range map[string]func(stop func()){
+		"the daemon stops":           func(stop func()) { stop() },
+		"idle for as long as it may": func(func()) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				listener := sim.NewHeldListener()
+				ctx, stop := context.WithCancel(context.Background())
+				ended := make(chan error, 1)
+				handler := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { _, _ = io.Copy(w, q.Body) })
+				go func() { ended <- daemon.Serve(ctx, listener, handler, grace) }()
+				client := listener.Dial()
+				in := bufio.NewReader(client)
+				ask := func() {
+					_, err := io.WriteString(client, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+					is.NoErr(err)
+				}
+				answered := func() {
+					answer, err := http.ReadResponse(in, nil)
+					is.NoErr(err)
+					body, err := io.ReadAll(answer.Body)
+					is.NoErr(err)
+					is.Equal(string(body), "body")
+				}
+				ask()
+				answered()
+				synctest.Wait() // the server waits for the next request
+				time.Sleep(daemon.IdleTimeout - time.Millisecond)
+				listener.Hold()
+				ask()
+				synctest.Wait() // it was read
+				end(stop)
+				time.Sleep(grace / 4)
+				listener.Release()
+				answered()
+				stop()
+				_ = client.Close()
+				is.NoErr(<-ended)
+			})
+		})
+	}
+}
