Cores and agents answer what they read before they close, by the server that proxies have

Change: the proxy's tracking of connections moves to package daemon as daemon.Server, and daemon.Serve uses it; one piece of code for all daemons. Time-outs, sizes and graces are as they were. The test listener that stood in the proxy's test is the one of package sim.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,32 +30,6 @@
 	Clock func() time.Time
 }
 
-const (
-	readHeaderTimeout = 10 * time.Second
-	IdleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-	// CloseTimeout is how long running answers may take when a daemon closes its listeners, where its options do not say.
-	CloseTimeout = time.Second
-)
-
-// Serve answers on a listener until the context ends, and then lets running answers finish for the grace.
-func Serve(ctx context.Context, listener net.Listener, handler http.Handler, grace time.Duration) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: IdleTimeout, MaxHeaderBytes: maxHeaderBytes}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-	}
-	shutdownCtx, cancel := context.WithTimeout(context.Background(), grace)
-	defer cancel()
-	if server.Shutdown(shutdownCtx) != nil {
-		_ = server.Close() // what is left is cut off
-	}
-	return nil
-}
-
 // Every calls run at each interval until the context ends. A call that takes longer than the interval delays the next one.
 func Every(ctx context.Context, interval time.Duration, run func()) {
 	ticker := time.NewTicker(interval)
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -4,10 +4,7 @@
 	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,43 +17,6 @@
 	"asterridge/sim"
 )
 
-// heldListener hands out one connection in memory. While it is held, what a read has taken from the connection does not return to its reader:
-// so it is on a machine whose processor is busy elsewhere.
-type heldListener struct {
-	accepted chan net.Conn
-	once     sync.Once
-	held     atomic.Bool
-	release  chan struct{}
-}
-
-func (l *heldListener) Accept() (net.Conn, error) {
-	conn, open := <-l.accepted
-	if !open {
-		return nil, net.ErrClosed
-	}
-	return heldConn{conn, l}, nil
-}
-
-func (l *heldListener) Close() error {
-	l.once.Do(func() { close(l.accepted) })
-	return nil
-}
-
-func (l *heldListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-type heldConn struct {
-	net.Conn
-	listener *heldListener
-}
-
-func (c heldConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 && c.listener.held.Load() {
-		<-c.listener.release
-	}
-	return n, err
-}
-
 // A request on a kept connection that was read just when the proxy was told to stop, or whose connection had been idle for just as long as it
 // may, is answered.
 func TestRequestThatWasReadBeforeItsConnectionEndsIsAnswered(t *testing.T) {
@@ -76,12 +36,11 @@
 				p := proxy.New(daemon.Host{Name: "proxy-1", Fleet: "test", Net: host, Log: zerolog.Nop()}, options)
 				admin, err := host.Listen(options.Admin)
 				is.NoErr(err)
-				listener := &heldListener{accepted: make(chan net.Conn), release: make(chan struct{})}
+				listener := sim.NewHeldListener()
 				ctx, stop := context.WithCancel(context.Background())
 				ended := make(chan error)
 				go func() { ended <- p.Serve(ctx, listener, admin) }()
-				ours, theirs := net.Pipe()
-				listener.accepted <- theirs
+				ours := listener.Dial()
 				in := bufio.NewReader(ours)
 				ask := func() {
 					_, err := io.WriteString(ours, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb")
@@ -97,15 +56,14 @@
 				answered()
 				synctest.Wait() // the server waits for the next request
 				time.Sleep(options.IdleTimeout - time.Millisecond)
-				listener.held.Store(true)
+				listener.Hold()
 				ask()
 				synctest.Wait() // it was read
 				if options.IdleTimeout == 0 {
 					stop()
 				}
 				time.Sleep(2 * linger)
-				listener.held.Store(false)
-				close(listener.release)
+				listener.Release()
 				answered()
 				stop()
 				_ = ours.Close() // the client leaves
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -6,11 +6,11 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"asterridge/daemon"
 	"asterridge/router"
+	"asterridge/rpc"
 )
 
 // Options of a proxy. Zero values are those of router.Options, but where another default is given.
@@ -47,10 +47,9 @@
 
 // Proxy serves clients' requests.
 type Proxy struct {
-	Router   *router.Router
-	host     daemon.Host
-	options  Options
-	draining atomic.Bool
+	Router  *router.Router
+	host    daemon.Host
+	options Options
 }
 
 // New makes a proxy.
@@ -89,26 +88,38 @@
 	defer cancel()
 	go p.Router.Run(running)
 	go p.serveAdmin(running, admin)
-	server := newServer(p.closeWhileDraining(p.Router.Handler()), func() connectionTimeouts { return effectiveTimeouts(p.Router.Limits(), p.options) })
-	connections, accepting := newConnectionSet(), make(chan struct{})
-	listener := timeoutListener{router.Watch(server, clients), connections}
-	var failure error
-	go func() {
-		defer close(accepting)
-		failure = server.Serve(listener)
-	}()
+	callers := &http.Server{Handler: p.Router.Handler(), MaxHeaderBytes: maxHeaderBytes}
+	server := daemon.NewServer(callers, router.Watch(callers, clients), p.timeouts)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve() }()
 	p.host.Log.Info().Str("address", p.host.Address).Msg("proxy started")
 	select {
-	case <-accepting:
-		return failure
+	case err := <-failed:
+		return err
 	case <-ctx.Done():
 	}
-	stopAccepting := func() { _ = clients.Close() } // the server may have closed it after a failure
-	p.shutDown(running, server, connections, stopAccepting, accepting)
+	p.shutDown(running, server)
 	p.host.Log.Info().Msg("proxy stopped")
 	return nil
 }
 
+func (p *Proxy) timeouts() daemon.ConnectionTimeouts {
+	return effectiveTimeouts(p.Router.Limits(), p.options)
+}
+
+// shutDown ends the proxy within the grace.
+func (p *Proxy) shutDown(ctx context.Context, server *daemon.Server) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.Grace)
+	defer cancel()
+	server.Drain()
+	p.Router.Drain()
+	if p.options.ReadinessLinger > 0 {
+		_ = rpc.Sleep(ctx, p.options.ReadinessLinger) // it ends sooner if the grace does
+	}
+	p.Router.Stop(ctx)
+	server.Shutdown(ctx)
+}
+
 // serveAdmin serves queries and figures.
 func (p *Proxy) serveAdmin(ctx context.Context, admin net.Listener) {
 	mux := http.NewServeMux()
--- a/proxy/timeouts_test.go
+++ b/proxy/timeouts_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"asterridge/config"
+	"asterridge/daemon"
 )
 
 // pipeListener hands out connections in memory.
@@ -55,10 +56,12 @@
 			time.Sleep(time.Minute) // neither bound concerns a request that runs
 			_, _ = io.WriteString(w, "done")
 		})
-		server := newServer(handler, func() connectionTimeouts { return effectiveTimeouts(*limits, options) })
 		listener := newPipeListener()
-		go func() { _ = server.Serve(timeoutListener{listener, newConnectionSet()}) }()
-		defer server.Close()
+		timeouts := func() daemon.ConnectionTimeouts { return effectiveTimeouts(*limits, options) }
+		callers := &http.Server{Handler: handler}
+		server := daemon.NewServer(callers, listener, timeouts)
+		go func() { _ = server.Serve() }()
+		defer callers.Close()
 		play(is.New(t), listener.dial, limits)
 	})
 }
