No timer in a bubble that is due already: waits of no time return, intervals wait anew

Ruled out: timers of fixed positive times, contexts with deadlines, connection deadlines of the simulated network; none of them was seen due.

Change: rpc.Sleep returns at once for a wait that is over; rpc.Every (it was daemon.Every) waits by it in place of a ticker, and the detector and the core's ticks use it. A wake-up and an interval that fall together now make one tick. Callers of package fake wait by rpc.Sleep too. The test listener's names say stalled, not held.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -147,9 +147,9 @@
 		<-stopped.Done()
 		a.awaitProxyStop()
 	}()
-	go daemon.Every(ctx, protocol.HelloInterval, func() { a.discoverCores(ctx) })
-	go daemon.Every(ctx, protocol.CacheReaderInterval, a.switchCacheReaders)
-	go daemon.Every(ctx, time.Minute, a.throttles.Prune)
+	go rpc.Every(ctx, protocol.HelloInterval, func() { a.discoverCores(ctx) })
+	go rpc.Every(ctx, protocol.CacheReaderInterval, a.switchCacheReaders)
+	go rpc.Every(ctx, time.Minute, a.throttles.Prune)
 	go a.detector.Run(ctx)
 	go func() {
 		if err := daemon.Serve(ctx, listener, a.coreHandler(), a.options.CloseTimeout); err != nil {
--- a/agent/replica_reports.go
+++ b/agent/replica_reports.go
@@ -6,10 +6,11 @@
 	"time"
 
 	"asterridge/config"
-	"asterridge/daemon"
 	"asterridge/register"
 	"asterridge/replicaclient"
 	"asterridge/router"
+
+	"asterridge/rpc"
 )
 
 // reportInterval is the time between two polls of a replica.
@@ -82,5 +83,5 @@
 		last = report.Report
 	}
 	poll()
-	daemon.Every(ctx, reportInterval, poll)
+	rpc.Every(ctx, reportInterval, poll)
 }
--- a/controlplane/backend.go
+++ b/controlplane/backend.go
@@ -5,8 +5,9 @@
 	"time"
 
 	"asterridge/config"
-	"asterridge/daemon"
 	"asterridge/router"
+
+	"asterridge/rpc"
 )
 
 // Backend is how the control plane speaks with a platform that lists the replicas, and with replicas that take orders. It translates, and
@@ -49,8 +50,8 @@
 func (c *Core) runBackend(ctx context.Context) {
 	loader := newModelLoader(c)
 	lister := &replicaLister{core: c}
-	go daemon.Every(ctx, listInterval, func() { lister.step(ctx) })
+	go rpc.Every(ctx, listInterval, func() { lister.step(ctx) })
 	go c.runCacheReaders(ctx)
-	go daemon.Every(ctx, occupancyInterval, func() { c.publishOccupancy(ctx) })
-	go daemon.Every(ctx, loadInterval, func() { loader.step(ctx) })
+	go rpc.Every(ctx, occupancyInterval, func() { c.publishOccupancy(ctx) })
+	go rpc.Every(ctx, loadInterval, func() { loader.step(ctx) })
 }
--- a/controlplane/bootstrap.go
+++ b/controlplane/bootstrap.go
@@ -11,7 +11,6 @@
 
 	"asterridge/apierror"
 	"asterridge/config"
-	"asterridge/daemon"
 	"asterridge/membership"
 	"asterridge/protocol"
 	"asterridge/register"
@@ -53,7 +52,7 @@
 // it asks them to admit it.
 func (c *Core) runBootstrap(ctx context.Context) {
 	logged := false
-	daemon.Every(ctx, protocol.HelloInterval, func() {
+	rpc.Every(ctx, protocol.HelloInterval, func() {
 		now := c.membership()
 		switch {
 		case len(now.members) == 0:
--- a/controlplane/cache_readers.go
+++ b/controlplane/cache_readers.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"asterridge/config"
-	"asterridge/daemon"
 	"asterridge/protocol"
 	"asterridge/register"
 	"asterridge/router"
@@ -31,7 +30,7 @@
 	// assignedBefore is the assignment at the step before: a core that is being cut off misses the others one after another, and is
 	// assigned more for a moment.
 	var assignedBefore map[string]string
-	daemon.Every(ctx, protocol.CacheReaderInterval, func() {
+	rpc.Every(ctx, protocol.CacheReaderInterval, func() {
 		if c.membership().self != nil && !c.hasQuorum() {
 			return // agents may hear this core as before: it goes on with what it reads, and takes up nothing else
 		}
--- a/controlplane/leases.go
+++ b/controlplane/leases.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"asterridge/daemon"
 	"asterridge/lease"
 	"asterridge/rpc"
 )
@@ -76,7 +75,7 @@
 
 // runRoles performs the singleton roles that need no platform, as far as this core holds them, until the context ends.
 func (c *Core) runRoles(ctx context.Context) {
-	go daemon.Every(ctx, c.options.ClaimRetention/prunesPerRetention, func() { c.pruneClaims(ctx) })
+	go rpc.Every(ctx, c.options.ClaimRetention/prunesPerRetention, func() { c.pruneClaims(ctx) })
 	if c.options.Backend != nil {
 		return // a platform's replicas take their orders from the model loader
 	}
--- a/controlplane/retirement_controller.go
+++ b/controlplane/retirement_controller.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"asterridge/config"
-	"asterridge/daemon"
 	"asterridge/lease"
 	"asterridge/protocol"
 	"asterridge/register"
@@ -43,7 +42,7 @@
 func (c *Core) runRetirements(ctx context.Context) {
 	r := &retirementController{core: c, candidate: c.newCandidate(retirementRole, roleLease), committedSince: map[uint64]time.Time{}}
 	go r.runCampaigns(ctx)
-	daemon.Every(ctx, retirementInterval, func() {
+	rpc.Every(ctx, retirementInterval, func() {
 		if _, held := r.candidate.Held(); held {
 			r.step(ctx)
 		}
@@ -54,7 +53,7 @@
 func (r *retirementController) runCampaigns(ctx context.Context) {
 	var seen register.Revision
 	hasAdapters := false
-	daemon.Every(ctx, roleLease/campaignsPerLease, func() {
+	rpc.Every(ctx, roleLease/campaignsPerLease, func() {
 		acceptor := r.core.acceptor
 		if revision := acceptor.Revision(config.Key); revision != seen {
 			plan, err := config.FromFields(acceptor.Read(config.Key).Fields)
--- a/controlplane/tick.go
+++ b/controlplane/tick.go
@@ -19,13 +19,11 @@
 
 // runTicks ticks at each interval, and at once when something has changed that the next tick would act upon.
 func (c *Core) runTicks(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	go rpc.Every(ctx, tickInterval, c.wake)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
 		case <-c.wakeups:
 		}
 		c.tick(ctx)
--- a/controlplane/weights_rollout.go
+++ b/controlplane/weights_rollout.go
@@ -7,10 +7,11 @@
 	"time"
 
 	"asterridge/config"
-	"asterridge/daemon"
 	"asterridge/lease"
 	"asterridge/replicaclient"
 	"asterridge/router"
+
+	"asterridge/rpc"
 )
 
 const (
@@ -54,12 +55,12 @@
 		protocol:      router.ChatProtocol{},
 		behind:        map[string]behindState{},
 	}
-	go daemon.Every(ctx, roleLease/campaignsPerLease, func() {
+	go rpc.Every(ctx, roleLease/campaignsPerLease, func() {
 		if c.membership().self != nil {
 			r.candidate.Campaign(ctx)
 		}
 	})
-	daemon.Every(ctx, rolloutInterval, func() { r.step(ctx) })
+	rpc.Every(ctx, rolloutInterval, func() { r.step(ctx) })
 }
 
 // step looks at each pool, and tells some replicas to load.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -3,7 +3,6 @@
 package daemon
 
 import (
-	"context"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -29,17 +28,3 @@
 	// Clock is the wall clock, which is shown to operators and decides nothing; nil: the machine's.
 	Clock func() time.Time
 }
-
-// Every calls run at each interval until the context ends. A call that takes longer than the interval delays the next one.
-func Every(ctx context.Context, interval time.Duration, run func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			run()
-		}
-	}
-}
--- a/daemon/server_test.go
+++ b/daemon/server_test.go
@@ -26,7 +26,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				listener := sim.NewHeldListener()
+				listener := sim.NewStalledListener()
 				ctx, stop := context.WithCancel(context.Background())
 				ended := make(chan error, 1)
 				handler := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { _, _ = io.Copy(w, q.Body) })
@@ -48,12 +48,12 @@
 				answered()
 				synctest.Wait() // the server waits for the next request
 				time.Sleep(daemon.IdleTimeout - time.Millisecond)
-				listener.Hold()
+				listener.Stall()
 				ask()
 				synctest.Wait() // it was read
 				end(stop)
 				time.Sleep(grace / 4)
-				listener.Release()
+				listener.Resume()
 				answered()
 				stop()
 				_ = client.Close()
--- a/fake/caller.go
+++ b/fake/caller.go
@@ -15,6 +15,7 @@
 
 	"asterridge/api"
 	"asterridge/router"
+	"asterridge/rpc"
 )
 
 // Exchange is a line of the callers' ledger: one request and what the caller received.
@@ -107,11 +108,7 @@
 	for i := range o.Count {
 		next = next.Add(time.Duration(random.ExpFloat64() / o.Rate * float64(time.Second)))
 		a := pickKind(o, random, i)
-		timer := time.NewTimer(time.Until(next))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if rpc.Sleep(ctx, time.Until(next)) != nil {
 			all.Wait()
 			return
 		}
@@ -120,14 +117,15 @@
 	all.Wait()
 }
 
+// probeInterval is the time between an answer that Probe cannot take for whole and its next request.
+const probeInterval = 50 * time.Millisecond
+
 // Probe sends requests to each proxy, with the first caller's key, until it receives a whole answer. Every request is recorded in the
 // ledger.
 func Probe(ctx context.Context, o LoadOptions) {
 	var all sync.WaitGroup
 	for _, proxy := range o.Proxies {
 		all.Go(func() {
-			delay := time.NewTicker(50 * time.Millisecond)
-			defer delay.Stop()
 			for n := 0; ctx.Err() == nil; n++ {
 				one := Exchange{Tag: fmt.Sprintf("%s-%s-%d", o.Prefix, proxy, n), Tenant: o.Callers[0].Tenant, Access: o.Callers[0].Access, Kind: "light", Proxy: proxy}
 				a := ask(ctx, o, chatOf(one, Kinds[0], 0))
@@ -135,7 +133,7 @@
 				if a.Status == 200 && a.Ended {
 					return
 				}
-				<-delay.C
+				_ = rpc.Sleep(ctx, probeInterval) // the loop ends with the context
 			}
 		})
 	}
--- a/gossip/detector.go
+++ b/gossip/detector.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"asterridge/rendezvous"
+	"asterridge/rpc"
 )
 
 const (
@@ -97,16 +98,8 @@
 
 // Run sends heartbeats until the context ends.
 func (d *Detector) Run(ctx context.Context) {
-	ticker := time.NewTicker(d.options.Interval)
-	defer ticker.Stop()
-	for {
-		d.tick(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	d.tick(ctx)
+	rpc.Every(ctx, d.options.Interval, func() { d.tick(ctx) })
 }
 
 // Nodes lists the nodes that are known, this one first.
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -36,7 +36,7 @@
 				p := proxy.New(daemon.Host{Name: "proxy-1", Fleet: "test", Net: host, Log: zerolog.Nop()}, options)
 				admin, err := host.Listen(options.Admin)
 				is.NoErr(err)
-				listener := sim.NewHeldListener()
+				listener := sim.NewStalledListener()
 				ctx, stop := context.WithCancel(context.Background())
 				ended := make(chan error)
 				go func() { ended <- p.Serve(ctx, listener, admin) }()
@@ -56,14 +56,14 @@
 				answered()
 				synctest.Wait() // the server waits for the next request
 				time.Sleep(options.IdleTimeout - time.Millisecond)
-				listener.Hold()
+				listener.Stall()
 				ask()
 				synctest.Wait() // it was read
 				if options.IdleTimeout == 0 {
 					stop()
 				}
 				time.Sleep(2 * linger)
-				listener.Release()
+				listener.Resume()
 				answered()
 				stop()
 				_ = ours.Close() // the client leaves
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -179,15 +179,3 @@
 func RetryAfter(d time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(d.Seconds())))
 }
-
-// Sleep waits, or gives the context's error if it ends before.
-func Sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
