soak: which replica drains is drawn when the script is written

The variable that handed the drained replica to its second event had no order either, and the script depended on the time.

Change: the replica is drawn as the script is written, and one event drains it and replaces it later.

--- a/soak/script.go
+++ b/soak/script.go
@@ -164,11 +164,12 @@
 // drainReplica has a replica drain, and another one come in its place.
 func (s *scriptWriter) drainReplica(at time.Duration) []event {
 	const drain = 4 * time.Second
-	var drained *Replica
-	return []event{
-		{at, "a replica drains", func(r *run) { drained = r.fleet.drainReplica(s.random.IntN(s.fleet.Size.Replicas)) }},
-		{at + drain, "it has left", func(r *run) { r.fleet.replaceReplica(drained) }},
-	}
+	position := s.random.IntN(s.fleet.Size.Replicas) // drawn now: events run beside each other
+	return []event{{at, fmt.Sprintf("replica %d drains, and another one comes", position), func(r *run) {
+		drained := r.fleet.drainReplica(position)
+		time.Sleep(drain)
+		r.fleet.replaceReplica(drained)
+	}}}
 }
 
 // replaceCore has a core end without a word and come back with an empty disk.
