soak: settings files are put in place in one step

Both agents had been started anew and read an empty settings file. Traced: each start writes the settings of its whole machine again, in place, and the other process of the machine was being started at the same moment. The soak's own fault; operators' tools rename.

Ruled out: signals (neither life got one), a short read by the daemon.

--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -109,12 +109,8 @@
 	for _, program := range order {
 		settings := all[program]
 		settings["name"] = m.Name + "-" + program
-		raw, err := json.Marshal(settings)
-		if err != nil {
-			return nil, err
-		}
 		file := filepath.Join(m.Folder, program+".json")
-		if err := os.WriteFile(file, raw, 0o600); err != nil {
+		if err := soak.WriteSettings(file, settings); err != nil {
 			return nil, err
 		}
 		commands = append(commands, soak.Command{Name: m.Name + "/" + program, Path: filepath.Join(buildFolder, program), Args: []string{"-settings", file}, Settings: file})
