One wait for a context and a time; one caller for the tests of closing

Cause: read again as a whole, the change had a second rpc.Sleep in package soak, beside older ones in fake and localfleet; the tests of daemon and proxy each wrote and read the same request; three imports stood apart.

Change: the three call rpc.Sleep; StalledListener.Dial gives a Caller with Send and Answer, which both tests use. Assertions and behaviour are as they were.

Measured: lint; golden, daemon, proxy, fake, soak, platform and agent under -race pass, and the sim tests named TestRollingRestart, TestAgentRestart, TestEveryCallBetween and TestFleet.

--- a/agent/replica_reports.go
+++ b/agent/replica_reports.go
@@ -9,7 +9,6 @@
 	"asterridge/register"
 	"asterridge/replicaclient"
 	"asterridge/router"
-
 	"asterridge/rpc"
 )
 
--- a/cmd/localfleet/scripts.go
+++ b/cmd/localfleet/scripts.go
@@ -14,6 +14,7 @@
 	"asterridge/controlplane"
 	"asterridge/fake"
 	"asterridge/membership"
+	"asterridge/rpc"
 )
 
 var scripts = []script{
@@ -35,12 +36,7 @@
 
 // after waits for a moment of the script.
 func after(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	_ = rpc.Sleep(ctx, d) // the script looks at the context itself
 }
 
 // throttle measures the time from the first refusal until all proxies apply the throttle.
--- a/controlplane/backend.go
+++ b/controlplane/backend.go
@@ -6,7 +6,6 @@
 
 	"asterridge/config"
 	"asterridge/router"
-
 	"asterridge/rpc"
 )
 
--- a/controlplane/weights_rollout.go
+++ b/controlplane/weights_rollout.go
@@ -10,7 +10,6 @@
 	"asterridge/lease"
 	"asterridge/replicaclient"
 	"asterridge/router"
-
 	"asterridge/rpc"
 )
 
--- a/daemon/server_test.go
+++ b/daemon/server_test.go
@@ -1,7 +1,6 @@
 package daemon_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -32,24 +31,17 @@
 				handler := http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { _, _ = io.Copy(w, q.Body) })
 				go func() { ended <- daemon.Serve(ctx, listener, handler, grace) }()
 				client := listener.Dial()
-				in := bufio.NewReader(client)
-				ask := func() {
-					_, err := io.WriteString(client, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
-					is.NoErr(err)
-				}
 				answered := func() {
-					answer, err := http.ReadResponse(in, nil)
-					is.NoErr(err)
-					body, err := io.ReadAll(answer.Body)
+					body, err := client.Answer()
 					is.NoErr(err)
-					is.Equal(string(body), "body")
+					is.Equal(body, "body")
 				}
-				ask()
+				is.NoErr(client.Send("body"))
 				answered()
 				synctest.Wait() // the server waits for the next request
 				time.Sleep(daemon.IdleTimeout - time.Millisecond)
 				listener.Stall()
-				ask()
+				is.NoErr(client.Send("body"))
 				synctest.Wait() // it was read
 				end(stop)
 				time.Sleep(grace / 4)
--- a/fake/replica_serve.go
+++ b/fake/replica_serve.go
@@ -13,6 +13,7 @@
 
 	"asterridge/config"
 	"asterridge/prefixindex"
+	"asterridge/rpc"
 )
 
 // chat holds the fields of the published chat form that the replica reads.
@@ -209,19 +210,7 @@
 }
 
 // pause waits for a duration unless the request ends first.
-func pause(q *http.Request, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-q.Context().Done():
-		return false
-	}
-}
+func pause(q *http.Request, d time.Duration) bool { return d <= 0 || rpc.Sleep(q.Context(), d) == nil }
 
 // Sum returns the hash by which ledgers identify an answer's content.
 func Sum(content []byte) string {
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -1,10 +1,7 @@
 package proxy_test
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,24 +37,17 @@
 				ctx, stop := context.WithCancel(context.Background())
 				ended := make(chan error)
 				go func() { ended <- p.Serve(ctx, listener, admin) }()
-				ours := listener.Dial()
-				in := bufio.NewReader(ours)
-				ask := func() {
-					_, err := io.WriteString(ours, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nb")
-					is.NoErr(err)
-				}
+				client := listener.Dial()
 				answered := func() {
-					answer, err := http.ReadResponse(in, nil)
-					is.NoErr(err)
-					_, err = io.ReadAll(answer.Body)
+					_, err := client.Answer()
 					is.NoErr(err)
 				}
-				ask()
+				is.NoErr(client.Send("b"))
 				answered()
 				synctest.Wait() // the server waits for the next request
 				time.Sleep(options.IdleTimeout - time.Millisecond)
 				listener.Stall()
-				ask()
+				is.NoErr(client.Send("b"))
 				synctest.Wait() // it was read
 				if options.IdleTimeout == 0 {
 					stop()
@@ -66,7 +56,7 @@
 				listener.Resume()
 				answered()
 				stop()
-				_ = ours.Close() // the client leaves
+				_ = client.Close() // the client leaves
 				is.NoErr(<-ended)
 			})
 		})
--- a/sim/stalled_listener.go
+++ b/sim/stalled_listener.go
@@ -1,7 +1,11 @@
 package sim
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 )
@@ -21,10 +25,10 @@
 }
 
 // Dial waits until a connection is accepted, and returns the client's end of it.
-func (l *StalledListener) Dial() net.Conn {
+func (l *StalledListener) Dial() *Caller {
 	ours, theirs := net.Pipe()
 	l.accepted <- theirs
-	return ours
+	return &Caller{ours, bufio.NewReader(ours)}
 }
 
 // Stall has reads with bytes wait until Resume.
@@ -54,6 +58,29 @@
 // Addr is of no meaning here.
 func (l *StalledListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// Caller sends requests on one connection.
+type Caller struct {
+	net.Conn
+	answers *bufio.Reader
+}
+
+// Send sends a request with a body.
+func (c *Caller) Send(body string) error {
+	_, err := fmt.Fprintf(c.Conn, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err
+}
+
+// Answer reads the whole body of the next answer.
+func (c *Caller) Answer() (string, error) {
+	answer, err := http.ReadResponse(c.answers, nil)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return string(body), err
+}
+
 type stalledConn struct {
 	net.Conn
 	listener *StalledListener
--- a/soak/replica.go
+++ b/soak/replica.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"asterridge/rpc"
 )
 
 // Kind is the kind of a route.
@@ -186,15 +188,8 @@
 	return body + r.speech.StreamEnd, err == nil
 }
 
-// sleep waits, and reports whether the context is still there.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
+// sleep waits, and says whether it did so to the end: the context has not ended.
+func sleep(ctx context.Context, d time.Duration) bool { return rpc.Sleep(ctx, d) == nil }
 
 // replicaClose is how long requests that a replica runs may take when it has left.
 const replicaClose = 30 * time.Second
