Cores choose among a request's best replicas by what all proxies have in flight

Ruled out: waiting in the proxy (6), prompts too long by themselves (13). Change: package inflight; before it queues, a request of a model pool is placed by the core that owns the loads, for 150 replicas each. A log line and its fields tell of each first chunk what was expected of it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -87,9 +87,10 @@
 	unresponsive map[string]bool
 	// quorumSince is since when a majority of the members answers; zero while it does not.
 	quorumSince time.Time
-	// proxies are those that share the replicas, as the proxy was told.
-	proxies       register.Fields
-	modelVersions router.ModelVersions
+	// proxies are those that share the replicas, liveCoreFields the cores that answer, as the proxy was told.
+	proxies        register.Fields
+	liveCoreFields register.Fields
+	modelVersions  router.ModelVersions
 	// cacheReaders is, by the key of a source's cache updates, the address of the core that they are taken from.
 	cacheReaders map[string]string
 	// polled are the replicas that are polled for reports, stopPolling what ends that.
@@ -149,6 +150,7 @@
 	}()
 	go rpc.Every(ctx, protocol.HelloInterval, func() { a.discoverCores(ctx) })
 	go rpc.Every(ctx, protocol.CacheReaderInterval, a.switchCacheReaders)
+	go rpc.Every(ctx, protocol.CacheReaderInterval, a.forwardCores)
 	go rpc.Every(ctx, time.Minute, a.throttles.Prune)
 	go a.detector.Run(ctx)
 	go func() {
--- a/agent/forwarding.go
+++ b/agent/forwarding.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"sort"
 	"time"
@@ -122,6 +123,26 @@
 	}
 }
 
+// coreSilence is for how long a core may be silent that the proxy is given: longer than a request is held, so that an idle one stays. The
+// proxy leaves alone a core that does not answer it.
+const coreSilence = 2 * membership.LivenessTimeout
+
+// forwardCores gives the proxy the addresses of the cores that answer.
+func (a *Agent) forwardCores() {
+	live := register.Fields{}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, m := range a.members {
+		if core := a.cores[m.Address]; core != nil && time.Since(core.FreshAsOf(m.Incarnation)) < coreSilence {
+			live[m.Name], _ = json.Marshal(m.Address) // a string always encodes
+		}
+	}
+	if change := config.Delta(a.liveCoreFields, live); len(change) > 0 {
+		a.liveCoreFields = live
+		a.proxyUpdates.PublishHint(router.CoresKey, change, false)
+	}
+}
+
 // forwardOccupancy gives the proxy the load of replicas. An update that is older than what it had does no harm for long.
 func (a *Agent) forwardOccupancy(response watch.Response) {
 	for _, update := range response.Updates {
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -15,6 +15,7 @@
 	"asterridge/daemon"
 	"asterridge/disk"
 	"asterridge/gossip"
+	"asterridge/inflight"
 	"asterridge/membership"
 	"asterridge/protocol"
 	"asterridge/register"
@@ -71,6 +72,7 @@
 	acceptor      *register.Acceptor
 	owner         *register.Owner
 	throttles     *throttle.Table
+	loads         inflight.Table
 	operations    operations
 	// peerUpdates serves every register to the other cores, agentUpdates what agents need.
 	peerUpdates  *watch.Server
@@ -240,6 +242,11 @@
 	return daemon.Serve(ctx, listener, handler, c.options.CloseTimeout)
 }
 
+// handlePlacement takes what a proxy has in flight, and chooses a replica for a request of it.
+func (c *Core) handlePlacement(_ context.Context, request inflight.Request) (inflight.Response, error) {
+	return c.loads.Place(request), nil
+}
+
 // handler has all endpoints of a core.
 func (c *Core) handler() http.Handler {
 	mux, fleet := http.NewServeMux(), c.host.Fleet
@@ -247,6 +254,7 @@
 	mux.Handle("POST /core/pull", rpc.Handler(fleet, c.agentUpdates.Watch))
 	mux.Handle("POST /core/whole", rpc.Handler(fleet, c.peerUpdates.Watch))
 	mux.Handle("POST /core/hold", rpc.Handler(fleet, c.handleThrottle))
+	mux.Handle("POST /core/place", rpc.Handler(fleet, c.handlePlacement))
 	mux.Handle("POST /register/promise", rpc.Handler(fleet, c.handlePrepare))
 	mux.Handle("POST /register/confirm", rpc.Handler(fleet, c.handleConfirm))
 	mux.Handle("POST /register/accept", rpc.Handler(fleet, c.handleAccept))
--- a/controlplane/messages_test.go
+++ b/controlplane/messages_test.go
@@ -10,6 +10,7 @@
 	"asterridge/config"
 	"asterridge/golden"
 	"asterridge/gossip"
+	"asterridge/inflight"
 	"asterridge/lease"
 	"asterridge/membership"
 	"asterridge/protocol"
@@ -49,6 +50,8 @@
 		{Name: "POST /op/models", Type: ModelVersionChange{}},
 		{Name: "POST /op/retirement", Type: RetirementChange{}},
 		{Name: "POST /op/advance", Type: RetirementStep{}},
+		{Name: "POST /core/place", Type: inflight.Request{}},
+		{Name: "POST /core/place: answer", Type: inflight.Response{}},
 		{Name: "answer to an accepted change", Type: Accepted{}},
 		{Name: "answer to a rejected call", Type: apierror.Body{}},
 		{Name: "POST /query, /agent/query", Type: Query{}},
@@ -82,6 +85,6 @@
 	is.Equal([]string{membership.PreviousField, membership.HighestIDField, protocol.ThrottlePrefix, leasePrefix}, []string{"~carry", "~next", "hold/", "term/"})
 	is.Equal([]string{config.Key, config.ModelsKey, config.LoadsKey, config.RetirementKey, config.ReplicasKey, config.MembersKey, config.KeysPrefix},
 		[]string{"blue" + "print", "models", "loads", "retirement", "replicas", "members", "keys/"})
-	is.Equal([]string{router.ThrottleKey, router.ModelVersionsKey, router.ProxiesKey, router.ReportsKey, router.CachedPrefix, router.OccupancyKey},
-		[]string{"hold", "named", "proxies", "reports", "kept/", "occupancy"})
+	is.Equal([]string{router.ThrottleKey, router.ModelVersionsKey, router.ProxiesKey, router.ReportsKey, router.CachedPrefix, router.OccupancyKey, router.CoresKey},
+		[]string{"hold", "named", "proxies", "reports", "kept/", "occupancy", "cores"})
 }
--- a/router/cost.go
+++ b/router/cost.go
@@ -75,13 +75,16 @@
 	return rate
 }
 
+// pendingTime estimates the milliseconds that a replica needs for what this router has sent there and that has not begun.
+func (r *Router) pendingTime(rep *replica) float64 { return float64(rep.pending.Load()) / rep.rate() }
+
 // cost adds the replica's load and warm-up to the work, in milliseconds.
 func (r *Router) cost(rep *replica, size int, work float64, now time.Time) float64 {
 	busy, warm := float64(rep.running.Load()), rep.State != config.ReplicaWarming
 	if report := rep.report.Load(); report != nil {
 		busy, warm = float64(report.Running)+float64(rep.sent.Load()), report.Warm
 	} else {
-		work += float64(rep.pending.Load()) / rep.rate()
+		work += r.pendingTime(rep)
 		if seen := rep.seen.Load(); seen != nil && now.Sub(seen.at) < seenAge {
 			busy = max(busy, float64(seen.Running)+float64(rep.sent.Load()))
 			work += waitCost * float64(seen.Waiting)
--- a/router/exchange.go
+++ b/router/exchange.go
@@ -118,6 +118,8 @@
 	write     *requestWrite
 	// resumedPlacement is that of a stream that is resumed: all its chunks come from there.
 	resumedPlacement config.Placement
+	// advice is the replica that a core has named for the present attempt.
+	advice advice
 	// prefill is the credit until the first chunk; then it is empty.
 	prefill credit
 	// unsentAttempts counts the replicas that the request was given and not written to.
--- a/router/filters.go
+++ b/router/filters.go
@@ -25,6 +25,7 @@
 	identityFilter struct{ r *Router }
 	pathFilter     struct{ r *Router }
 	attemptsFilter struct{ r *Router }
+	balanceFilter  struct{ r *Router }
 	queueFilter    struct{ r *Router }
 	claimFilter    struct{ r *Router }
 	sendFilter     struct{ r *Router }
--- a/router/pool.go
+++ b/router/pool.go
@@ -20,9 +20,13 @@
 	source string
 	// sink is the address of a store to leave the prefix at; empty: none.
 	sink string
-	// work is what the replica has to prefill of the prompt, in the prompt's units.
-	work int64
-	pool *pool
+	// work is what the replica has to prefill of the prompt, in the prompt's units; ahead, what this router had sent there before it.
+	work  int64
+	ahead int64
+	// expected is the estimated time from the write to the first chunk, in milliseconds; home: the replica is the prompt's home.
+	expected float64
+	home     bool
+	pool     *pool
 	// windowed: the request has a place in the pool's window.
 	windowed  bool
 	placement config.Placement
@@ -94,7 +98,8 @@
 	return report.Weights, true
 }
 
-// pick takes a credit for a waiting request: at the replica with the least estimated cost among those that can serve and have capacity.
+// pick takes a credit for a waiting request: at the replica that a core has named for it, else at the one with the least estimated cost,
+// among those that can serve and have capacity.
 func (r *Router) pick(item *queue.Item) (credit, bool) {
 	x := item.Body.(*Exchange)
 	v := r.view.Load()
@@ -103,8 +108,58 @@
 		return credit{}, false
 	}
 	now := time.Now()
-	var best credit
-	var least float64
+	best := x.advice.choose(r.candidates(x, v, p, now), now)
+	if best == nil || x.Path.LatencyTargetMs > 0 && !p.window.enter() {
+		return credit{}, false
+	}
+	c := r.creditOf(x, v, best)
+	c.windowed = x.Path.LatencyTargetMs > 0
+	c.pool = p
+	c.replica.running.Add(1)
+	c.replica.sent.Add(1)
+	c.replica.pending.Add(c.work)
+	if c.replica.Name != x.advice.replica {
+		r.balancer.loadChanged(c.replica.Name)
+	}
+	return c, true
+}
+
+// creditOf makes a credit of a candidate.
+func (r *Router) creditOf(x *Exchange, v *View, best *candidate) credit {
+	rep, d := best.replica, best.cache
+	c := credit{
+		replica: rep, weights: best.weights, placement: best.placement, source: best.source, sink: r.sinkFor(x, v, d),
+		work: int64(x.Prompt.Size() - d.cached[rep.Name]), ahead: rep.pending.Load(),
+		expected: best.work + r.pendingTime(rep), home: d.home == rep.Name,
+	}
+	if c.source == "" {
+		c.source = r.backUp(v, rep, d.cached)
+	}
+	return c
+}
+
+// candidate is a replica that can serve a request, with what is cached of its prompt in the replica's domain.
+type candidate struct {
+	replica   *replica
+	weights   string
+	cache     *cacheState
+	placement config.Placement
+	// work is the estimated time in milliseconds until the replica has the prompt, source where it fetches from; cost is what counts.
+	work   float64
+	source string
+	cost   float64
+}
+
+// precedes reports whether a candidate goes before another one: it costs less, or, at the same cost, ranks higher for the prompt.
+func (c *candidate) precedes(other *candidate) bool {
+	if c.cost != other.cost {
+		return c.cost < other.cost
+	}
+	return rendezvous.Weight(c.cache.anchor, c.replica.Name) > rendezvous.Weight(other.cache.anchor, other.replica.Name)
+}
+
+// candidates gives the replicas that can serve a request and have capacity, with what it costs there.
+func (r *Router) candidates(x *Exchange, v *View, p *pool, now time.Time) []candidate {
 	domains := map[string]*cacheState{}
 	var fit []candidate
 	for _, rep := range p.replicas {
@@ -119,49 +174,31 @@
 		}
 		d := domains[domain]
 		d.meet(rep.Name)
-		fit = append(fit, candidate{rep, weights, d, on})
-	}
-	for _, f := range fit {
-		rep, d := f.replica, f.cache
-		work, source := r.work(x, v, p, rep, d.cached)
-		cost := r.cost(rep, x.Prompt.Size(), work, now) - firstGain(rep, f.placement)
-		if x.Prompt.Segments != nil && rep.Zone != r.options.Zone {
-			cost += zoneCost
-		}
-		if x.Prompt.Segments != nil && d.home != rep.Name {
-			cost += homeGain + againCost*float64(max(0, d.shared-max(d.cached[rep.Name], d.maxCached)))/rep.rate()
-		}
-		if r.options.Protocol.ReportPath() != "" && f.weights != p.Weights {
-			cost += oldCost
-		}
-		if r.signals.HasRejected(rep.index, x.Tenant.index) {
-			cost += oldCost // another replica's answer tells more
-		}
-		if cost < least || best.replica == nil || cost == least && rendezvous.Weight(d.anchor, rep.Name) > rendezvous.Weight(d.anchor, best.replica.Name) {
-			best, least = credit{replica: rep, weights: f.weights, placement: f.placement, source: source, work: int64(x.Prompt.Size() - d.cached[rep.Name])}, cost
-			best.sink = r.sinkFor(x, v, d)
-			if source == "" {
-				best.source = r.backUp(v, rep, d.cached)
-			}
-		}
+		fit = append(fit, candidate{replica: rep, weights: weights, cache: d, placement: on})
 	}
-	if best.replica == nil || x.Path.LatencyTargetMs > 0 && !p.window.enter() {
-		return credit{}, false
+	for i := range fit {
+		r.estimate(x, v, p, &fit[i], now)
 	}
-	best.windowed = x.Path.LatencyTargetMs > 0
-	best.pool = p
-	best.replica.running.Add(1)
-	best.replica.sent.Add(1)
-	best.replica.pending.Add(best.work)
-	return best, true
+	return fit
 }
 
-// candidate is a replica that can serve a request, with what is cached of its prompt in the replica's domain.
-type candidate struct {
-	replica   *replica
-	weights   string
-	cache     *cacheState
-	placement config.Placement
+// estimate works out what a request costs at a candidate.
+func (r *Router) estimate(x *Exchange, v *View, p *pool, c *candidate, now time.Time) {
+	rep, d := c.replica, c.cache
+	c.work, c.source = r.work(x, v, p, rep, d.cached)
+	c.cost = r.cost(rep, x.Prompt.Size(), c.work, now) - firstGain(rep, c.placement)
+	if x.Prompt.Segments != nil && rep.Zone != r.options.Zone {
+		c.cost += zoneCost
+	}
+	if x.Prompt.Segments != nil && d.home != rep.Name {
+		c.cost += homeGain + againCost*float64(max(0, d.shared-max(d.cached[rep.Name], d.maxCached)))/rep.rate()
+	}
+	if r.options.Protocol.ReportPath() != "" && c.weights != p.Weights {
+		c.cost += oldCost
+	}
+	if r.signals.HasRejected(rep.index, x.Tenant.index) {
+		c.cost += oldCost // another replica's answer tells more
+	}
 }
 
 // cacheState is what is known of a prompt in one cache domain.
@@ -202,6 +239,9 @@
 	c := x.prefill
 	x.prefill = credit{}
 	c.endPrefill()
+	if c.replica != nil {
+		r.balancer.loadChanged(c.replica.Name)
+	}
 	if c.windowed {
 		r.queue.Wake(c.pool.index)
 	}
@@ -267,7 +307,10 @@
 }
 
 // release returns a credit.
-func (r *Router) release(c credit) { c.replica.running.Add(-1) }
+func (r *Router) release(c credit) {
+	c.replica.running.Add(-1)
+	r.balancer.loadChanged(c.replica.Name)
+}
 
 // returnUnused returns a credit whose request left in the moment of the grant; it is called under the queue's lock.
 func (r *Router) returnUnused(c credit) {
--- a/router/router.go
+++ b/router/router.go
@@ -45,6 +45,8 @@
 	CachedPrefix = "kept/"
 	// OccupancyKey has the load of replicas whose slots are too few for a share of each proxy: running, waiting, room (§5.3).
 	OccupancyKey = "occupancy"
+	// CoresKey has the addresses of the cores that answer, by name.
+	CoresKey = "cores"
 	// DisturbedKey says when a core was last seen to fall silent or to return: until then the cores may not have been able to go on
 	// with what they do, so that what has a term counts it from there (§6.2).
 	DisturbedKey = "disturbed"
@@ -73,6 +75,7 @@
 	budget          budget
 	bodyMemory      memoryBudget
 	borrow          borrowedShare
+	balancer        balancer
 	streaks         streaks
 	windows         sync.Map // *concurrencyWindow by pool name
 	disturbed       atomic.Pointer[time.Time]
@@ -133,6 +136,7 @@
 		streaks:         streaks{byScope: map[string]int{}},
 		random:          &lockedRandom{r: mathrand.New(mathrand.NewPCG(options.Seed, nameHash.Sum64()))},
 		throttleReports: make(chan throttle.Notice, throttleReportQueue),
+		balancer:        newBalancer(),
 		stopped:         make(chan struct{}),
 	}
 	r.upstream = &http.Transport{
@@ -163,7 +167,7 @@
 func (r *Router) linkFilters() {
 	filters := []Filter{currencyFilter{r}, identityFilter{r}, pathFilter{r}}
 	filters = append(filters, r.options.Filters...)
-	filters = append(filters, attemptsFilter{r}, queueFilter{r}, claimFilter{r}, sendFilter{r})
+	filters = append(filters, attemptsFilter{r}, balanceFilter{r}, queueFilter{r}, claimFilter{r}, sendFilter{r})
 	r.chain = func(context.Context, *Exchange) error {
 		return apierror.New(apierror.Internal, "no filter answered")
 	}
@@ -179,6 +183,7 @@
 // Run watches the agent and reports throttles until the context ends.
 func (r *Router) Run(ctx context.Context) {
 	go r.reportThrottles(ctx)
+	go r.reportLoads(ctx)
 	r.agent.Run(ctx)
 }
 
--- a/router/send.go
+++ b/router/send.go
@@ -320,11 +320,23 @@
 	return r.options.Clock()
 }
 
+// logFirstChunk logs how long a first chunk took beside what the placement expected, so that a late one can be told by its cause: it waited
+// here, was computed anew, or stood behind others at its replica.
+func (r *Router) logFirstChunk(x *Exchange, delay time.Duration) {
+	c := x.prefill
+	r.log.Debug().Str("request", x.ID).Str("path", x.Path.Name).Str("replica", x.replica.Name).Str("prefix", x.anchor("")).
+		Int64("waited_ms", x.Sent.Sub(x.Received).Milliseconds()).Int64("delay_ms", delay.Milliseconds()).
+		Float64("expected_ms", c.expected).Int("prompt", x.Prompt.Size()).Int64("prefill", c.work).Int64("ahead", c.ahead).
+		Float64("rate", x.replica.rate()).Bool("home", c.home).Bool("fetched", x.source != "").Int(AttemptColumn, x.Attempt).
+		Msg("first chunk")
+}
+
 // observeFirstChunk gives the delay of the first chunk to the signals.
 func (r *Router) observeFirstChunk(x *Exchange, delay time.Duration) {
 	x.replica.bad.Store(0)
 	r.borrow.observe(false)
 	r.observePrefillRate(x, delay)
+	r.logFirstChunk(x, delay)
 	r.endPrefill(x)
 	report := x.replica.report.Load()
 	if report != nil && !report.Warm {
--- a/router/updates.go
+++ b/router/updates.go
@@ -17,6 +17,8 @@
 		switch {
 		case e.Key == ThrottleKey:
 			r.throttles.Apply(e.Fields, e.AgesMs)
+		case e.Key == CoresKey:
+			r.balancer.setCores(f.Read(CoresKey).Fields)
 		case e.Key == OccupancyKey:
 			r.applyOccupancy(e.Fields, e.AgesMs)
 		case e.Key == ModelVersionsKey:
@@ -42,6 +44,7 @@
 			return
 		}
 		r.view.Store(v)
+		r.balancer.setReplicas(len(v.replicas))
 		r.budget.share(r.options.RetrySlack, len(v.proxies))
 		r.log.Info().Uint64("version", v.Version.Version).Int("replicas", len(v.replicas)).Msg("routing view updated")
 	}
