Agents are told only of cached blocks that a proxy has named as shared

Change: a core is told with a request for a place which blocks of the prompt others may share, and passes that on to the cores. Tests of the caches name the blocks first, and one more holds that others stay untold.

--- a/controlplane/cache_readers.go
+++ b/controlplane/cache_readers.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
+	"maps"
+	"slices"
 	"time"
 
 	"asterridge/config"
@@ -128,32 +129,33 @@
 	return c.options.Backend.CachedBlocks(ctx, address, offset, cacheWatchWait)
 }
 
-// publishCached tells the agents, and of stores the other cores too, what a source has cached now.
+// publishCached tells the agents what a source has cached now.
 func (c *Core) publishCached(key string, fields register.Fields, full bool) {
 	c.agentUpdates.PublishDeferred(key, fields, full)
-	if isStore(key) {
-		c.peerUpdates.PublishDeferred(key, fields, full)
-		c.applySharedBlocks(key, fields, full)
-	}
 }
 
-func isStore(key string) bool {
-	return strings.HasPrefix(key, router.CachedPrefix+router.StoreName(""))
+// shareBlocks notes blocks that a proxy has named as shared, tells the other cores, and publishes what this core has held back of them.
+func (c *Core) shareBlocks(blocks []string) {
+	named, full, released := c.prefixes.share(blocks, true)
+	if len(named) > 0 {
+		c.peerUpdates.PublishDeferred(sharedBlocksKey, named, full)
+	}
+	c.publishReleased(released)
 }
 
-// applySharedBlocks notes what a store has cached: it was left there since other requests may share it. What this core has held back of it
-// is published now.
-func (c *Core) applySharedBlocks(key string, fields register.Fields, full bool) {
-	for source, published := range c.prefixes.shareBlocks(key, fields, full) {
-		c.agentUpdates.PublishDeferred(source, published, false)
+// publishReleased publishes blocks that have become shared, by the sources that have them cached.
+func (c *Core) publishReleased(released map[string]register.Fields) {
+	for source, fields := range released {
+		c.agentUpdates.PublishDeferred(source, fields, false)
 	}
 }
 
-// applyStoreUpdates notes what stores have cached from the response of the core that reads them.
-func (c *Core) applyStoreUpdates(response watch.Response) {
+// applySharedBlocks notes the shared blocks that another core was told of.
+func (c *Core) applySharedBlocks(response watch.Response) {
 	for _, update := range response.Updates {
-		if isStore(update.Key) && len(update.Fields) > 0 {
-			c.applySharedBlocks(update.Key, update.Fields, response.Snapshot)
+		if update.Key == sharedBlocksKey {
+			_, _, released := c.prefixes.share(slices.Collect(maps.Keys(update.Fields)), false)
+			c.publishReleased(released)
 		}
 	}
 }
--- a/controlplane/prefix_filter.go
+++ b/controlplane/prefix_filter.go
@@ -6,20 +6,20 @@
 	"sync"
 
 	"asterridge/register"
-	"asterridge/router"
 )
 
 // maxSharedBlocks is how many blocks are remembered as shared; beyond it all are forgotten and learned anew.
 const maxSharedBlocks = 200000
 
-// prefixFilter decides which cached blocks agents are told of. Most of what replicas cache belongs to one request and is of no use to
-// others. While a store answers, only blocks that were once left at a store are published, besides what is cached when reading begins:
-// nobody knows any more what that is. Without a store everything is published. The zero value is ready to use.
+// sharedBlocksKey has, among cores, the blocks that proxies have named as such that prompts share.
+const sharedBlocksKey = "shared"
+
+// prefixFilter decides which cached blocks agents are told of. Most of what replicas and stores cache belongs to one request and is of no use
+// to others: only blocks that a proxy has named as shared are published, besides what is cached when reading begins, since nobody may name
+// that again. The zero value is ready to use.
 type prefixFilter struct {
 	mu sync.Mutex
-	// liveStores are the stores that answer.
-	liveStores map[string]bool
-	// sharedBlocks are the blocks that a store has cached.
+	// sharedBlocks are the blocks that proxies have named; true: to this core, which has told the others.
 	sharedBlocks map[string]bool
 	// sources are what was read, by the key of the updates.
 	sources map[string]*cacheSource
@@ -50,7 +50,7 @@
 		} else {
 			delete(s.cached, block)
 		}
-		f.publishBlock(s, block, full || isStore(source), fields)
+		f.publishBlock(s, block, full, fields)
 	}
 	return fields
 }
@@ -58,8 +58,9 @@
 // publishBlock adds a block to the fields if it is to be published, or its removal if it was published; f.mu is held.
 func (f *prefixFilter) publishBlock(s *cacheSource, block string, all bool, fields register.Fields) {
 	amount, cached := s.cached[block]
+	_, shared := f.sharedBlocks[block]
 	switch {
-	case cached && (all || len(f.liveStores) == 0 || f.sharedBlocks[block]):
+	case cached && (all || shared):
 		s.published[block] = true
 		fields[block] = json.RawMessage(strconv.Itoa(amount))
 	case !cached && s.published[block]:
@@ -68,39 +69,32 @@
 	}
 }
 
-// shareBlocks notes what a store has cached, and gives by source what was held back of it.
-func (f *prefixFilter) shareBlocks(store string, fields register.Fields, full bool) map[string]register.Fields {
+// share notes blocks as shared, as a proxy has named them to this core (own) or to another one. It gives the blocks that the other cores are
+// to be told of, whether they are all that is known now, and by source what was held back of the blocks.
+func (f *prefixFilter) share(blocks []string, own bool) (named register.Fields, full bool, released map[string]register.Fields) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.liveStores == nil {
-		f.liveStores, f.sharedBlocks = map[string]bool{}, map[string]bool{}
-	}
-	if full {
-		delete(f.liveStores, store)
-	}
-	if len(f.sharedBlocks) > maxSharedBlocks {
+	if full = len(f.sharedBlocks) > maxSharedBlocks; full || f.sharedBlocks == nil {
 		f.sharedBlocks = map[string]bool{}
 	}
-	released := map[string]register.Fields{}
-	for block, raw := range fields {
-		deleted := register.IsDeleted(raw)
-		switch {
-		case block == router.CacheUp && deleted:
-			delete(f.liveStores, store)
-		case block == router.CacheUp:
-			f.liveStores[store] = true
-		case !deleted && !f.sharedBlocks[block]:
-			f.sharedBlocks[block] = true
+	named, released = register.Fields{}, map[string]register.Fields{}
+	for _, block := range blocks {
+		told, known := f.sharedBlocks[block]
+		f.sharedBlocks[block] = told || own
+		if own && !told {
+			named[block] = json.RawMessage("1")
+		}
+		if !known {
 			f.releaseBlock(block, released)
 		}
 	}
-	return released
+	return named, full, released
 }
 
-// releaseBlock adds a block that has become shared to the fields of every replica that has it cached unpublished; f.mu is held.
+// releaseBlock adds a block that has become shared to the fields of every source that has it cached unpublished; f.mu is held.
 func (f *prefixFilter) releaseBlock(block string, released map[string]register.Fields) {
 	for name, s := range f.sources {
-		if isStore(name) || s.cached[block] == 0 || s.published[block] {
+		if s.cached[block] == 0 || s.published[block] {
 			continue
 		}
 		if released[name] == nil {
--- a/controlplane/tick.go
+++ b/controlplane/tick.go
@@ -107,7 +107,7 @@
 		Request: func() watch.Request { return watch.Request{Name: c.host.Name, Role: coreRole} },
 		OnUpdate: func(_ *watch.Client, response watch.Response) {
 			protocol.MergeThrottles(c.throttles, response)
-			c.applyStoreUpdates(response)
+			c.applySharedBlocks(response)
 			if response.Snapshot {
 				c.wake() // there is much to catch up on
 			}
--- a/router/balancer.go
+++ b/router/balancer.go
@@ -211,9 +211,22 @@
 		}
 	}
 	request.Loads = b.loadsByCore(v, owners)[core]
+	request.Shared = unknownBlocks(sorted)
 	return core, b.cores[core], request
 }
 
+// unknownBlocks gives the shared blocks of a prompt that no replica or store is known to have cached whole, in any domain.
+func unknownBlocks(candidates []candidate) (blocks []string) {
+	seen := map[*cacheState]bool{}
+	for _, c := range candidates {
+		if !seen[c.cache] && c.cache.maxCached < c.cache.shared {
+			blocks = append(blocks, c.cache.sharedBlocks...)
+		}
+		seen[c.cache] = true
+	}
+	return blocks
+}
+
 // tellCore sends a message to a core, and leaves the core alone for a while if it does not answer in time.
 func (r *Router) tellCore(ctx context.Context, core, address string, request inflight.Request, timeout time.Duration) (inflight.Response, error) {
 	b := &r.balancer
--- a/router/pool.go
+++ b/router/pool.go
@@ -207,8 +207,10 @@
 	cached    map[string]int // by replica or store
 	maxCached int            // that any of them keeps
 	shared    int            // what of it others may ask for too
-	home      string         // of the replicas that may serve: the one on which proxies without news agree
-	weight    uint64
+	// sharedBlocks are the keys of the blocks that make shared.
+	sharedBlocks []string
+	home         string // of the replicas that may serve: the one on which proxies without news agree
+	weight       uint64
 }
 
 // cacheStateOf looks a prompt up in one cache domain.
@@ -223,6 +225,9 @@
 	}
 	if n := len(x.Prompt.Segments); n > 1 {
 		d.shared = x.Prompt.Size() - x.Prompt.Segments[n-1].Size
+		for _, block := range x.chain(domain)[:n-1] {
+			d.sharedBlocks = append(d.sharedBlocks, block.Key)
+		}
 	}
 	return d
 }
--- a/sim/kept_test.go
+++ b/sim/kept_test.go
@@ -10,7 +10,9 @@
 	"github.com/matryer/is"
 
 	"asterridge/config"
+	"asterridge/inflight"
 	"asterridge/router"
+	"asterridge/rpc"
 	"asterridge/watch"
 )
 
@@ -31,6 +33,7 @@
 		b.keep(storeAt, 7, map[string]int{"d/s": 100})
 		f.declare(0, pools(1, config.Pool{Name: "pool", Kind: "model", Models: []string{"m"}, MaxReaders: 3},
 			config.Pool{Name: "st", Kind: "store", Address: storeAt, MaxReaders: 3}))
+		f.nameShared("d/s", "d/t", "d/u", "d/new", "e/t")
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
 		var agents []*watch.Client
@@ -41,6 +44,11 @@
 	})
 }
 
+// nameShared tells one core, as a proxy does, that prompts share these blocks.
+func (f *Fleet) nameShared(blocks ...string) {
+	must(rpc.Call[inflight.Response](context.Background(), f.Wire, At(CoreIP(0)), "/core/place", inflight.Request{Proxy: "p", Run: "1", Number: 1, Shared: blocks}))
+}
+
 // untilKept waits until all agents pass on just this of a source.
 func untilKept(f *Fleet, agents []*watch.Client, limit time.Duration, source string, want map[string]int) time.Duration {
 	last := ""
@@ -115,6 +123,44 @@
 	})
 }
 
+// Of what replicas and a store cache, agents are told of the blocks that prompts share: at once if a proxy has named them before, else when
+// one does, whichever core that asks and whichever reads the source.
+func TestOnlySharedBlocksAreToldOf(t *testing.T) {
+	t.Parallel()
+	keeping(t, 235, func(is *is.I, f *Fleet, b *backends, agents []*watch.Client) {
+		sources := map[string]string{theStore: storeAt}
+		for name, r := range b.replicas {
+			sources[name] = r.Address
+		}
+		for _, address := range sources {
+			b.keep(address, 7, map[string]int{"d/s": 100})
+		}
+		for source := range sources {
+			untilKept(f, agents, 5*time.Second, source, map[string]int{"d/s": 100})
+		}
+		for _, address := range sources {
+			b.keep(address, 7, map[string]int{"d/s": 100, "d/t": 30, "d/later": 20, "d/own": 10})
+		}
+		for source := range sources {
+			untilKept(f, agents, 2*time.Second, source, map[string]int{"d/s": 100, "d/t": 30})
+		}
+		time.Sleep(3 * time.Second)
+		for source := range sources {
+			untilKept(f, agents, time.Second, source, map[string]int{"d/s": 100, "d/t": 30})
+		}
+		f.nameShared("d/later")
+		for source := range sources {
+			untilKept(f, agents, 2*time.Second, source, map[string]int{"d/s": 100, "d/t": 30, "d/later": 20})
+		}
+		for _, address := range sources {
+			b.keep(address, 7, map[string]int{"d/t": 30, "d/own": 10})
+		}
+		for source := range sources {
+			untilKept(f, agents, 2*time.Second, source, map[string]int{"d/t": 30})
+		}
+	})
+}
+
 // A store that is gone is passed on as gone, so that nobody fetches from it or fills it; when it is back, it is up again with what it
 // keeps now, whether it was only out of reach or has started anew. One failure alone is no end.
 func TestStoreGoesAndComesBack(t *testing.T) {
