Cores no longer poll replicas for their load

Of a web back end the question was always refused. Change: the polls, their key, what reads them and the cost for a full memory, which only they told, are removed.

--- a/agent/discovery.go
+++ b/agent/discovery.go
@@ -114,7 +114,6 @@
 			protocol.MergeThrottles(a.throttles, response)
 			a.forwardCached(core, response)
 			a.forwardModelVersions(response)
-			a.forwardOccupancy(response)
 		},
 		OnResponse: func(*watch.Client, time.Time, time.Duration) { a.applyUpdates(ctx) },
 	})
--- a/agent/forwarding.go
+++ b/agent/forwarding.go
@@ -143,15 +143,6 @@
 	}
 }
 
-// forwardOccupancy gives the proxy the load of replicas. An update that is older than what it had does no harm for long.
-func (a *Agent) forwardOccupancy(response watch.Response) {
-	for _, update := range response.Updates {
-		if update.Key == router.OccupancyKey && len(update.Fields) > 0 && !response.Snapshot {
-			a.proxyUpdates.PublishDeferred(update.Key, update.Fields, false)
-		}
-	}
-}
-
 // forwardModelVersions tells the proxy since when versions of models are published, as the core knows it that has known it for longest.
 func (a *Agent) forwardModelVersions(response watch.Response) {
 	for _, update := range response.Updates {
--- a/cmd/scalebench/backend.go
+++ b/cmd/scalebench/backend.go
@@ -8,7 +8,6 @@
 
 	"asterridge/config"
 	"asterridge/controlplane"
-	"asterridge/router"
 	"asterridge/rpc"
 )
 
@@ -51,11 +50,6 @@
 	return r.Models, false, nil
 }
 
-// Occupancy is told where proxies outnumber slots.
-func (b *hollowBackend) Occupancy(_ context.Context, r config.Replica) (router.Occupancy, error) {
-	return router.Occupancy{Running: 1, Slots: r.Limit}, nil
-}
-
 // Load does nothing.
 func (b *hollowBackend) Load(context.Context, config.Replica, controlplane.Order) error { return nil }
 
--- a/controlplane/backend.go
+++ b/controlplane/backend.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"asterridge/config"
-	"asterridge/router"
 	"asterridge/rpc"
 )
 
@@ -18,8 +17,6 @@
 	Versions(ctx context.Context, r config.Replica) (models map[string]uint64, busy bool, err error)
 	// Load orders a replica to take a version when what runs on it has ended.
 	Load(ctx context.Context, r config.Replica, o Order) error
-	// Occupancy asks a replica for its load.
-	Occupancy(ctx context.Context, r config.Replica) (router.Occupancy, error)
 	// CachedBlocks gives what has changed in the cache of a replica or store since an offset, and waits for a change if there is none. The
 	// zero offset asks for all that is cached.
 	CachedBlocks(ctx context.Context, address string, from CacheOffset, wait time.Duration) (CacheUpdate, error)
@@ -51,6 +48,5 @@
 	lister := &replicaLister{core: c}
 	go rpc.Every(ctx, listInterval, func() { lister.step(ctx) })
 	go c.runCacheReaders(ctx)
-	go rpc.Every(ctx, occupancyInterval, func() { c.publishOccupancy(ctx) })
 	go rpc.Every(ctx, loadInterval, func() { loader.step(ctx) })
 }
--- a/controlplane/doc.go
+++ b/controlplane/doc.go
@@ -10,7 +10,7 @@
 //     it several times a second.
 //   - Operations, which change registers: operation.go takes each to the register's owner; config.go, access_keys.go, replicas.go,
 //     throttles.go, claims.go, models.go and retirement.go check and apply them.
-//   - Singleton roles, which one core performs for all: leases.go, weights_rollout.go, model_loader.go, replica_list.go, occupancy.go,
+//   - Singleton roles, which one core performs for all: leases.go, weights_rollout.go, model_loader.go, replica_list.go,
 //     cache_readers.go and retirement_controller.go.
 //   - Observation: queries.go answers operators, metrics.go is scraped.
 package controlplane
--- a/controlplane/messages_test.go
+++ b/controlplane/messages_test.go
@@ -85,6 +85,6 @@
 	is.Equal([]string{membership.PreviousField, membership.HighestIDField, protocol.ThrottlePrefix, leasePrefix}, []string{"~carry", "~next", "hold/", "term/"})
 	is.Equal([]string{config.Key, config.ModelsKey, config.LoadsKey, config.RetirementKey, config.ReplicasKey, config.MembersKey, config.KeysPrefix},
 		[]string{"blue" + "print", "models", "loads", "retirement", "replicas", "members", "keys/"})
-	is.Equal([]string{router.ThrottleKey, router.ModelVersionsKey, router.ProxiesKey, router.ReportsKey, router.CachedPrefix, router.OccupancyKey, router.CoresKey},
-		[]string{"hold", "named", "proxies", "reports", "kept/", "occupancy", "cores"})
+	is.Equal([]string{router.ThrottleKey, router.ModelVersionsKey, router.ProxiesKey, router.ReportsKey, router.CachedPrefix, router.CoresKey},
+		[]string{"hold", "named", "proxies", "reports", "kept/", "cores"})
 }
--- a/router/cost.go
+++ b/router/cost.go
@@ -79,7 +79,7 @@
 func (r *Router) pendingTime(rep *replica) float64 { return float64(rep.pending.Load()) / rep.rate() }
 
 // cost adds the replica's load and warm-up to the work, in milliseconds.
-func (r *Router) cost(rep *replica, size int, work float64, now time.Time) float64 {
+func (r *Router) cost(rep *replica, work float64, now time.Time) float64 {
 	busy, warm := float64(rep.running.Load()), rep.State != config.ReplicaWarming
 	if report := rep.report.Load(); report != nil {
 		busy, warm = float64(report.Running)+float64(rep.sent.Load()), report.Warm
@@ -88,9 +88,6 @@
 		if seen := rep.seen.Load(); seen != nil && now.Sub(seen.at) < seenAge {
 			busy = max(busy, float64(seen.Running)+float64(rep.sent.Load()))
 			work += waitCost * float64(seen.Waiting)
-			if seen.Free > 0 && size > seen.Free {
-				work += fullCost
-			}
 		}
 	}
 	cost := work + loadWeight*busy*busy/float64(max(1, rep.Limit))/float64(max(1, rep.Limit))
--- a/router/load.go
+++ b/router/load.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"encoding/json"
 	"sync/atomic"
 	"time"
 )
@@ -24,19 +23,12 @@
 	seenVersion atomic.Uint64
 }
 
-// Occupancy is what a replica reports of its load: in an answer, or to the core that asks it for all.
+// Occupancy is what a replica tells of its load in an answer.
 type Occupancy struct {
 	Running, Waiting, Slots int
-	Free                    int // units of prompts that fit into the memory beside what runs; 0: not told
 	at                      time.Time
 }
 
-// Taken is the part of it that is sent to all proxies, as one field.
-func (o Occupancy) Taken() json.RawMessage {
-	raw, _ := json.Marshal([]int{o.Running, o.Waiting, o.Free}) // whole numbers always encode
-	return raw
-}
-
 // newLoad makes a load of which nothing is known.
 func newLoad() *load {
 	l := &load{}
--- a/router/pool.go
+++ b/router/pool.go
@@ -57,8 +57,6 @@
 	// zoneCost is for a replica in another zone, waitCost for each request that a replica reports to be waiting.
 	zoneCost = 4.0
 	waitCost = 40.0
-	// fullCost is for a replica whose memory does not hold the prompt beside what runs.
-	fullCost = 300.0
 	// oldCost is for a replica on old weights, which will be told to load at any moment, or one that has rejected the tenant.
 	oldCost    = 400.0
 	loadWeight = 40.0
@@ -186,7 +184,7 @@
 func (r *Router) estimate(x *Exchange, v *View, p *pool, c *candidate, now time.Time) {
 	rep, d := c.replica, c.cache
 	c.work, c.source = r.work(x, v, p, rep, d.cached)
-	c.cost = r.cost(rep, x.Prompt.Size(), c.work, now) - firstGain(rep, c.placement)
+	c.cost = r.cost(rep, c.work, now) - firstGain(rep, c.placement)
 	if x.Prompt.Segments != nil && rep.Zone != r.options.Zone {
 		c.cost += zoneCost
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -43,8 +43,6 @@
 	ThrottleKey  = "hold"
 	ReportsKey   = "reports"
 	CachedPrefix = "kept/"
-	// OccupancyKey has the load of replicas whose slots are too few for a share of each proxy: running, waiting, room (§5.3).
-	OccupancyKey = "occupancy"
 	// CoresKey has the addresses of the cores that answer, by name.
 	CoresKey = "cores"
 	// DisturbedKey says when a core was last seen to fall silent or to return: until then the cores may not have been able to go on
--- a/router/send.go
+++ b/router/send.go
@@ -124,9 +124,6 @@
 func (r *Router) observeResponse(x *Exchange, answer *http.Response) {
 	if seen, reported := r.options.Protocol.Occupancy(answer); reported {
 		seen.at = time.Now()
-		if before := x.replica.seen.Load(); before != nil {
-			seen.Free = before.Free
-		}
 		x.replica.occupied(&seen)
 	}
 	if version := r.options.Protocol.ModelVersion(answer); version > x.replica.seenVersion.Load() {
--- a/router/updates.go
+++ b/router/updates.go
@@ -19,8 +19,6 @@
 			r.throttles.Apply(e.Fields, e.AgesMs)
 		case e.Key == CoresKey:
 			r.balancer.setCores(f.Read(CoresKey).Fields)
-		case e.Key == OccupancyKey:
-			r.applyOccupancy(e.Fields, e.AgesMs)
 		case e.Key == ModelVersionsKey:
 			r.modelVersions.Apply(e.Fields, e.AgesMs)
 		case e.Key == DisturbedKey:
@@ -52,23 +50,6 @@
 	r.queue.WakeAll()
 }
 
-// applyOccupancy takes the load of replicas as a core has asked it.
-func (r *Router) applyOccupancy(fields register.Fields, agesMs map[string]int64) {
-	v := r.view.Load()
-	if v == nil {
-		return
-	}
-	for name, raw := range fields {
-		var reported []int
-		rep := v.replicas[name]
-		if rep == nil || json.Unmarshal(raw, &reported) != nil || len(reported) != 3 {
-			continue
-		}
-		rep.occupied(&Occupancy{Running: reported[0], Waiting: reported[1], Free: reported[2], Slots: rep.Limit,
-			at: time.Now().Add(-time.Duration(agesMs[name]) * time.Millisecond)})
-	}
-}
-
 // applyReports takes the reports of replicas as the agent has polled them.
 func (r *Router) applyReports(fields register.Fields) {
 	v := r.view.Load()
--- a/sim/backend_test.go
+++ b/sim/backend_test.go
@@ -162,11 +162,6 @@
 	return b.listed[core]
 }
 
-// Occupancy is told for all back ends alike; the proxies of these tests have slots enough and are not told of it.
-func (v view) Occupancy(context.Context, config.Replica) (router.Occupancy, error) {
-	return router.Occupancy{Slots: 1}, nil
-}
-
 func (v view) Versions(ctx context.Context, r config.Replica) (map[string]uint64, bool, error) {
 	v.mu.Lock()
 	own := v.replicas[r.Name]
