Watch responses do not tell the ages of deferred hints

Change: only hints that are published at once have ages (throttles, versions, disturbances). Old clients take a missing age for zero.

--- a/watch/server.go
+++ b/watch/server.go
@@ -66,7 +66,7 @@
 type fieldState struct {
 	value     json.RawMessage
 	offset    uint64
-	changedAt time.Time
+	changedAt time.Time // zero: not told
 }
 
 // position is the newest change of a key (with an empty field) or of a field.
@@ -113,7 +113,7 @@
 func (s *Server) Publish(key string, revision, committed register.Revision, change register.Fields, full bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.publish(key, revision, committed, change, full)
+	s.publish(key, revision, committed, change, full, time.Now())
 	s.wake()
 }
 
@@ -122,11 +122,11 @@
 	s.Publish(key, register.Revision{}, register.Revision{}, change, full)
 }
 
-// PublishDeferred is PublishHint for hints which may wait deferDelay for others, and go along with what cannot wait.
+// PublishDeferred is PublishHint for hints which may wait deferDelay for others, and go along with what cannot wait. Their ages are not told.
 func (s *Server) PublishDeferred(key string, change register.Fields, full bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.publish(key, register.Revision{}, register.Revision{}, change, full)
+	s.publish(key, register.Revision{}, register.Revision{}, change, full, time.Time{})
 	if s.deferredPending {
 		return
 	}
@@ -147,8 +147,8 @@
 	s.updated = make(chan struct{})
 }
 
-// publish takes a change without waking anybody; s.mu is held.
-func (s *Server) publish(key string, revision, committed register.Revision, change register.Fields, full bool) {
+// publish takes a change without waking anybody; s.mu is held. at is zero if the age of the fields is not to be told.
+func (s *Server) publish(key string, revision, committed register.Revision, change register.Fields, full bool, at time.Time) {
 	k := s.keys[key]
 	if k == nil {
 		k = &publishedKey{fields: map[string]fieldState{}}
@@ -158,7 +158,7 @@
 		change = k.replacement(change)
 	}
 	for field, value := range change {
-		s.setField(key, k, field, value)
+		s.setField(key, k, field, value, at)
 	}
 	k.revision, k.committed = revision, committed
 	s.offset++
@@ -183,7 +183,7 @@
 }
 
 // setField changes one field; s.mu is held. Of a register, a value that stands already is no change; of a hint it is: its age counts anew.
-func (s *Server) setField(key string, k *publishedKey, field string, value json.RawMessage) {
+func (s *Server) setField(key string, k *publishedKey, field string, value json.RawMessage, changedAt time.Time) {
 	old, exists := k.fields[field]
 	if register.IsDeleted(value) {
 		value = nil
@@ -199,11 +199,11 @@
 		s.positions.Delete(position{offset: old.offset})
 	}
 	s.offset++
-	k.fields[field] = fieldState{value: value, offset: s.offset, changedAt: time.Now()}
-	at := position{offset: s.offset, key: key, field: field}
-	s.positions.ReplaceOrInsert(at)
+	k.fields[field] = fieldState{value: value, offset: s.offset, changedAt: changedAt}
+	newest := position{offset: s.offset, key: key, field: field}
+	s.positions.ReplaceOrInsert(newest)
 	if value == nil {
-		s.tombstones.ReplaceOrInsert(at)
+		s.tombstones.ReplaceOrInsert(newest)
 	}
 }
 
@@ -285,7 +285,7 @@
 		}
 		update, state := &updates[i], k.fields[p.field]
 		update.Fields[p.field] = state.value
-		if k.revision == (register.Revision{}) {
+		if k.revision == (register.Revision{}) && !state.changedAt.IsZero() {
 			if update.AgesMs == nil {
 				update.AgesMs = map[string]int64{}
 			}
