A placement looks at holders of the prefix only, and once at all replicas

Change: sources are the replicas and stores that have some of the prompt, found once; the second pass looks at the replica that the core has named. The home is no longer part of the log line: of one replica alone it says nothing.

--- a/router/balancer.go
+++ b/router/balancer.go
@@ -40,20 +40,6 @@
 	until   time.Time
 }
 
-// choose gives the candidate that was named, else the one that precedes all others; nil if there is none.
-func (a advice) choose(candidates []candidate, now time.Time) (best *candidate) {
-	for i := range candidates {
-		c := &candidates[i]
-		if c.replica.Name == a.replica && now.Before(a.until) {
-			return c
-		}
-		if best == nil || c.precedes(best) {
-			best = c
-		}
-	}
-	return best
-}
-
 // balancer knows which core owns the loads of which replica (package inflight), and how far each core was told.
 type balancer struct {
 	changed chan struct{} // asks for a report
@@ -170,7 +156,7 @@
 	if p == nil {
 		return advice{}
 	}
-	candidates := r.candidates(x, v, p, now)
+	candidates := r.candidates(x, v, p, p.replicas, now)
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		if a.cost == b.cost {
 			return cmp.Compare(rendezvous.Weight(b.cache.anchor, b.replica.Name), rendezvous.Weight(a.cache.anchor, a.replica.Name))
--- a/router/cost.go
+++ b/router/cost.go
@@ -9,26 +9,20 @@
 
 // work estimates the milliseconds until a replica has the whole prompt. What it lacks is computed anew, or fetched from a peer or store
 // that is thought to have more of it cached, if that was measured to be quicker (docs/design.md §6.1). source names the peer or store.
-func (r *Router) work(x *Exchange, v *View, p *pool, rep *replica, cached map[string]int) (ms float64, source string) {
-	has, size, rate := cached[rep.Name], x.Prompt.Size(), rep.rate()
+func (r *Router) work(x *Exchange, v *View, p *pool, rep *replica, d *cacheState) (ms float64, source string) {
+	has, size, rate := d.cached[rep.Name], x.Prompt.Size(), rep.rate()
 	ms = float64(size-has) / rate
-	consider := func(other *replica) {
-		theirs := cached[other.Name]
+	for _, other := range d.holders {
+		theirs := d.cached[other.Name]
 		more := theirs - has
-		if other.Name == rep.Name || more <= 0 || other.State == config.ReplicaDraining {
-			return
+		if other.Name == rep.Name || more <= 0 {
+			continue
 		}
 		fetched := fetchDelay + float64(more)/max(r.fetchRate(v, p, rep, other), 0.01) + float64(size-theirs)/rate
 		if fetched < ms {
 			ms, source = fetched, other.Address
 		}
 	}
-	for _, other := range p.replicas {
-		consider(other)
-	}
-	for _, other := range v.stores {
-		consider(other)
-	}
 	return ms, source
 }
 
--- a/router/draw_test.go
+++ b/router/draw_test.go
@@ -40,7 +40,7 @@
 	} {
 		own := made("own", c.fetch)
 		p := &pool{replicas: []*replica{own, peer}}
-		ms, source := r.work(x, v, p, own, c.kept)
+		ms, source := r.work(x, v, p, own, &cacheState{cached: c.kept, holders: v.holders(p, c.kept)})
 		is.Equal(c.name+" "+source, c.name+" "+c.source)
 		is.True(ms <= float64(len(text))/100) // never dearer than reading anew
 	}
--- a/router/pool.go
+++ b/router/pool.go
@@ -23,9 +23,8 @@
 	// work is what the replica has to prefill of the prompt, in the prompt's units; ahead, what this router had sent there before it.
 	work  int64
 	ahead int64
-	// expected is the estimated time from the write to the first chunk, in milliseconds; home: the replica is the prompt's home.
+	// expected is the estimated time from the write to the first chunk, in milliseconds.
 	expected float64
-	home     bool
 	pool     *pool
 	// windowed: the request has a place in the pool's window.
 	windowed  bool
@@ -106,7 +105,7 @@
 		return credit{}, false
 	}
 	now := time.Now()
-	best := x.advice.choose(r.candidates(x, v, p, now), now)
+	best := r.bestCandidate(x, v, p, now)
 	if best == nil || x.Path.LatencyTargetMs > 0 && !p.window.enter() {
 		return credit{}, false
 	}
@@ -122,13 +121,30 @@
 	return c, true
 }
 
+// bestCandidate gives the replica that a core has named for a request if it can serve still, else the one that precedes all others; nil if
+// there is none.
+func (r *Router) bestCandidate(x *Exchange, v *View, p *pool, now time.Time) (best *candidate) {
+	if named := v.replicas[x.advice.replica]; named != nil && named.Pool == p.Name && now.Before(x.advice.until) {
+		if candidates := r.candidates(x, v, p, []*replica{named}, now); len(candidates) > 0 {
+			return &candidates[0]
+		}
+	}
+	candidates := r.candidates(x, v, p, p.replicas, now)
+	for i := range candidates {
+		if c := &candidates[i]; best == nil || c.precedes(best) {
+			best = c
+		}
+	}
+	return best
+}
+
 // creditOf makes a credit of a candidate.
 func (r *Router) creditOf(x *Exchange, v *View, best *candidate) credit {
 	rep, d := best.replica, best.cache
 	c := credit{
 		replica: rep, weights: best.weights, placement: best.placement, source: best.source, sink: r.sinkFor(x, v, d),
 		work: int64(x.Prompt.Size() - d.cached[rep.Name]), ahead: rep.pending.Load(),
-		expected: best.work + r.pendingTime(rep), home: d.home == rep.Name,
+		expected: best.work + r.pendingTime(rep),
 	}
 	if c.source == "" {
 		c.source = r.backUp(v, rep, d.cached)
@@ -156,11 +172,11 @@
 	return rendezvous.Weight(c.cache.anchor, c.replica.Name) > rendezvous.Weight(other.cache.anchor, other.replica.Name)
 }
 
-// candidates gives the replicas that can serve a request and have capacity, with what it costs there.
-func (r *Router) candidates(x *Exchange, v *View, p *pool, now time.Time) []candidate {
+// candidates gives those of some replicas of a pool that can serve a request and have capacity, with what it costs there.
+func (r *Router) candidates(x *Exchange, v *View, p *pool, replicas []*replica, now time.Time) []candidate {
 	domains := map[string]*cacheState{}
 	var fit []candidate
-	for _, rep := range p.replicas {
+	for _, rep := range replicas {
 		weights, servable := r.canServe(v, p, rep, x.Prompt.Model, now)
 		on, ready := v.placement(x, x.Path, rep)
 		if !servable || !ready || !r.hasCapacity(rep, now) || now.Before(*rep.coolUntil.Load()) {
@@ -168,7 +184,7 @@
 		}
 		domain := prefixindex.Domain(x.Tenant.Name, x.Tenant.CreatedVersion, x.Tenant.Isolated, domainOf(weights, on))
 		if domains[domain] == nil {
-			domains[domain] = r.cacheStateOf(x, p, domain)
+			domains[domain] = r.cacheStateOf(x, v, p, domain)
 		}
 		d := domains[domain]
 		d.meet(rep.Name)
@@ -183,7 +199,7 @@
 // estimate works out what a request costs at a candidate.
 func (r *Router) estimate(x *Exchange, v *View, p *pool, c *candidate, now time.Time) {
 	rep, d := c.replica, c.cache
-	c.work, c.source = r.work(x, v, p, rep, d.cached)
+	c.work, c.source = r.work(x, v, p, rep, d)
 	c.cost = r.cost(rep, c.work, now) - firstGain(rep, c.placement)
 	if x.Prompt.Segments != nil && rep.Zone != r.options.Zone {
 		c.cost += zoneCost
@@ -203,6 +219,7 @@
 type cacheState struct {
 	anchor    string
 	cached    map[string]int // by replica or store
+	holders   []*replica     // of some of it
 	maxCached int            // that any of them keeps
 	shared    int            // what of it others may ask for too
 	// sharedBlocks are the keys of the blocks that make shared.
@@ -212,7 +229,7 @@
 }
 
 // cacheStateOf looks a prompt up in one cache domain.
-func (r *Router) cacheStateOf(x *Exchange, p *pool, domain string) *cacheState {
+func (r *Router) cacheStateOf(x *Exchange, v *View, p *pool, domain string) *cacheState {
 	d := &cacheState{anchor: x.anchor(domain)}
 	if p.Kind != config.ModelPool {
 		return d
@@ -221,6 +238,7 @@
 	for _, cached := range d.cached {
 		d.maxCached = max(d.maxCached, cached)
 	}
+	d.holders = v.holders(p, d.cached)
 	if n := len(x.Prompt.Segments); n > 1 {
 		d.shared = x.Prompt.Size() - x.Prompt.Segments[n-1].Size
 		for _, block := range x.chain(domain)[:n-1] {
@@ -230,6 +248,18 @@
 	return d
 }
 
+// holders gives the replicas of a pool that are not draining, and the stores, that have some of a prompt cached.
+func (v *View) holders(p *pool, cached map[string]int) (holders []*replica) {
+	for _, sources := range [][]*replica{p.replicas, v.stores} {
+		for _, rep := range sources {
+			if cached[rep.Name] > 0 && rep.State != config.ReplicaDraining {
+				holders = append(holders, rep)
+			}
+		}
+	}
+	return holders
+}
+
 // meet has a replica compete for being the home: the one on which routers without cache updates agree.
 func (d *cacheState) meet(name string) {
 	if w := rendezvous.Weight(d.anchor, name); d.home == "" || w > d.weight {
--- a/router/send.go
+++ b/router/send.go
@@ -324,7 +324,7 @@
 	r.log.Debug().Str("request", x.ID).Str("path", x.Path.Name).Str("replica", x.replica.Name).Str("prefix", x.anchor("")).
 		Int64("waited_ms", x.Sent.Sub(x.Received).Milliseconds()).Int64("delay_ms", delay.Milliseconds()).
 		Float64("expected_ms", c.expected).Int("prompt", x.Prompt.Size()).Int64("prefill", c.work).Int64("ahead", c.ahead).
-		Float64("rate", x.replica.rate()).Bool("home", c.home).Bool("fetched", x.source != "").Int(AttemptColumn, x.Attempt).
+		Float64("rate", x.replica.rate()).Bool("fetched", x.source != "").Int(AttemptColumn, x.Attempt).
 		Msg("first chunk")
 }
 
