--- a/router/balancer.go
+++ b/router/balancer.go
@@ -171,8 +171,10 @@
 	if x.Path.LatencyTargetMs > 0 {
 		timeout = time.Duration(askShare * float64(x.Path.LatencyTargetMs) * float64(time.Millisecond))
 	}
+	r.counts.add("placements", 1)
 	response, err := r.tellCore(ctx, core, address, request, timeout)
 	if err != nil {
+		r.counts.add("placements_unanswered", 1)
 		return advice{}
 	}
 	return advice{replica: response.Replica, until: time.Now().Add(adviceTime)}
@@ -227,7 +229,6 @@
 	defer cancel()
 	response, err := rpc.Call[inflight.Response](ctx, r.rpc, address, "/core/place", request)
 	if err != nil {
-		r.counts.add("placements_unanswered", 1)
 		b.mu.Lock()
 		link.stale, link.pausedUntil = true, time.Now().Add(askPause)
 		b.mu.Unlock()
--- a/router/send.go
+++ b/router/send.go
@@ -317,10 +317,13 @@
 	return r.options.Clock()
 }
 
-// logFirstChunk logs how long a first chunk took beside what the placement expected, so that a late one can be told by its cause: it waited
+// logFirstChunk counts and logs how long a first chunk took beside what the placement expected, so that a late one can be told by its cause: it waited
 // here, was computed anew, or stood behind others at its replica.
 func (r *Router) logFirstChunk(x *Exchange, delay time.Duration) {
 	c := x.prefill
+	r.counts.add("first_chunks", 1)
+	r.counts.add("first_chunk_us", delay.Microseconds())
+	r.counts.add("first_chunk_expected_us", int64(c.expected*float64(time.Millisecond/time.Microsecond)))
 	r.log.Debug().Str("request", x.ID).Str("path", x.Path.Name).Str("replica", x.replica.Name).Str("prefix", x.anchor("")).
 		Int64("waited_ms", x.Sent.Sub(x.Received).Milliseconds()).Int64("delay_ms", delay.Milliseconds()).
 		Float64("expected_ms", c.expected).Int("prompt", x.Prompt.Size()).Int64("prefill", c.work).Int64("ahead", c.ahead).
--- a/sim/placement_test.go
+++ b/sim/placement_test.go
@@ -84,6 +84,7 @@
 	updates *watch.Server // what all agents pass on
 	proxies int
 	loads   inflight.Table
+	routers []*router.Router
 	running sync.WaitGroup
 	ctx     context.Context
 }
@@ -110,6 +111,7 @@
 	f.serve(ip+":7001", mux)
 	f.serve(ProxyAddress(i), r.Handler())
 	f.running.Go(func() { r.Run(f.ctx) })
+	f.routers = append(f.routers, r)
 }
 
 // configure publishes one pool with all engines, and a path with a latency target.
@@ -152,9 +154,17 @@
 	return time.Since(began), err
 }
 
+// count sums a counter of all routers.
+func (f *placementFleet) count(name string) (sum int64) {
+	for _, r := range f.routers {
+		sum += r.Counts()[name]
+	}
+	return sum
+}
+
 // playPlacement runs a fleet of 12 proxies and 20 engines that are busy for half of the time, and gives the share of answers that took longer
-// than 300 ms and the longest wait at an engine. A prompt alone takes 20 to 250 ms.
-func playPlacement(t *testing.T, seed uint64, cores register.Fields) (late float64, longest time.Duration) {
+// than 300 ms, the longest wait at an engine and the questions to a core that were not answered. A prompt alone takes 20 to 250 ms.
+func playPlacement(t *testing.T, seed uint64, cores register.Fields) (late float64, longest time.Duration, unanswered int64) {
 	is := is.New(t)
 	synctest.Test(t, func(*testing.T) {
 		ctx, stop := context.WithCancel(context.Background())
@@ -195,6 +205,9 @@
 		}
 		asking.Wait()
 		late = float64(slow) / requests
+		is.Equal(f.count("first_chunks"), int64(requests))
+		is.True(len(cores) == 0 || f.count("placements") > 0)
+		unanswered = f.count("placements_unanswered")
 		for _, e := range f.engines {
 			longest = max(longest, e.most)
 		}
@@ -204,7 +217,7 @@
 		client.CloseIdleConnections()
 		time.Sleep(time.Minute)
 	})
-	return late, longest
+	return late, longest, unanswered
 }
 
 // Proxies that do not see one another's requests, before replicas that tell nothing, do not meet at one replica while others are idle: a
@@ -214,8 +227,9 @@
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			is := is.New(t)
-			late, longest := playPlacement(t, seed, register.Fields{"core-1": json.RawMessage(strconv.Quote(placementCore))})
+			late, longest, unanswered := playPlacement(t, seed, register.Fields{"core-1": json.RawMessage(strconv.Quote(placementCore))})
 			t.Logf("late %.4f, longest wait %v", late, longest)
+			is.Equal(unanswered, int64(0))
 			is.True(late < 0.03) // 0.10 without a core that knows the loads
 		})
 	}
@@ -225,8 +239,9 @@
 func TestPlacementGoesOnWithoutTheCore(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	alone, _ := playPlacement(t, 1, register.Fields{})
-	silent, _ := playPlacement(t, 1, register.Fields{"core-1": json.RawMessage(`"10.0.0.9:7000"`)})
+	alone, _, _ := playPlacement(t, 1, register.Fields{})
+	silent, _, unanswered := playPlacement(t, 1, register.Fields{"core-1": json.RawMessage(`"10.0.0.9:7000"`)})
 	t.Logf("late without a core %.4f, with one that is silent %.4f", alone, silent)
 	is.True(silent < alone+0.03)
+	is.True(unanswered > 0 && unanswered < 200) // 12 proxies, about 10 s, a pause of a second after each
 }
