router/pool.go split by concern: placement, prompt cache, capacity, cost

What a placement costs stands with its constants in cost.go; one comparison of candidates serves the proxy's own choice and the question to a core.

--- a/router/balancer.go
+++ b/router/balancer.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"math"
@@ -157,12 +156,7 @@
 		return advice{}
 	}
 	candidates := r.candidates(x, v, p, p.replicas, now)
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		if a.cost == b.cost {
-			return cmp.Compare(rendezvous.Weight(b.cache.anchor, b.replica.Name), rendezvous.Weight(a.cache.anchor, a.replica.Name))
-		}
-		return cmp.Compare(a.cost, b.cost)
-	})
+	slices.SortFunc(candidates, compareCandidates)
 	core, address, request := r.balancer.ask(v, candidates, now)
 	if len(request.Candidates) < 2 {
 		return advice{} // nothing to choose
--- a/router/cost.go
+++ b/router/cost.go
@@ -7,6 +7,32 @@
 	"asterridge/config"
 )
 
+// Costs are in milliseconds of prefill, rates in the prompt's units per millisecond. What each is worth: docs/policy.md.
+const (
+	// defaultRate is the prefill rate of texts in bytes until a replica reports, segmentRate that of segments until it is observed.
+	defaultRate = 4.0
+	segmentRate = 100.0
+	// minSample is the size from which a prefill is a sample of the rate, prefillBase the time that a first chunk takes without any.
+	minSample   = 1000
+	prefillBase = 25 * time.Millisecond
+
+	// homeGain lowers the cost of the replica on which routers without cache updates agree.
+	homeGain = 20.0
+	// againCost is a factor of the prefill of what others may share and nobody is known to have cached: it is best computed in one place.
+	// Measured: 4 and 0.5 are worse than 2 (docs/policy.md).
+	againCost = 2.0
+	// zoneCost is for a replica in another zone, waitCost for each request that a replica reports to be waiting.
+	zoneCost = 4.0
+	waitCost = 40.0
+	// oldCost is for a replica on old weights, which will be told to load at any moment, or one that has rejected the tenant.
+	oldCost    = 400.0
+	loadWeight = 40.0
+	newestWarm = 3 * time.Second
+	// fetchDelay is the time before the first byte of a fetched prefix, fetchTry the rate expected of a source that was not tried yet.
+	fetchDelay = 5.0
+	fetchTry   = 200.0
+)
+
 // work estimates the milliseconds until a replica has the whole prompt. What it lacks is computed anew, or fetched from a peer or store
 // that is thought to have more of it cached, if that was measured to be quicker (docs/design.md §6.1). source names the peer or store.
 func (r *Router) work(x *Exchange, v *View, p *pool, rep *replica, d *cacheState) (ms float64, source string) {
--- a/router/router.go
+++ b/router/router.go
@@ -2,9 +2,9 @@
 // cmd/proxy is a thin program over it; a program of one's own may embed it (docs/design.md §5).
 //
 // A request is an Exchange. Its filters are in filters.go, claims.go and send.go, in the order of the chain: is this router current, whose
-// request is it, which path, the embedding program's own filters, attempts, queue, claim, send. pool.go and cost.go choose the replica;
-// replica_conn.go checks everything again in the moment of the first write; relay.go passes the answer on. The state that all of it goes by
-// is a View, which compile.go makes of the registers that the agent publishes (updates.go).
+// request is it, which path, the embedding program's own filters, attempts, balance, queue, claim, send. placement.go, cost.go and
+// balancer.go choose the replica; replica_conn.go checks everything again in the moment of the first write; relay.go passes the answer on.
+// The state that all of it goes by is a View, which compile.go makes of the registers that the agent publishes (updates.go).
 //
 // What was surely not written to a replica was not executed; everything else may have been. This line decides what may be attempted again,
 // and what the client is told.
