--- a/router/balancer.go
+++ b/router/balancer.go
@@ -22,9 +22,11 @@
 	// replicasPerCore is how many replicas one core owns the loads of: so many that requests have a choice, and so few that a core bears the
 	// messages for them (docs/CAPACITY.md).
 	replicasPerCore = 150
-	// askShare is the part of a latency target that a request waits for a core's choice at the most, askTimeout the time without a target.
-	askShare   = 0.05
-	askTimeout = 25 * time.Millisecond
+	// askShare is the part of a latency target that a request waits for a core's choice at the most, askTimeout the time without a target,
+	// maxAskTimeout the longest time.
+	askShare      = 0.05
+	askTimeout    = 25 * time.Millisecond
+	maxAskTimeout = 100 * time.Millisecond
 	// askPause is how long a core that has not answered in time is not asked.
 	askPause = time.Second
 	// adviceTime is how long a core's choice counts: a request that waits for longer is placed by what is known then.
@@ -161,12 +163,8 @@
 	if len(request.Candidates) < 2 {
 		return advice{} // nothing to choose
 	}
-	timeout := askTimeout
-	if x.Path.LatencyTargetMs > 0 {
-		timeout = time.Duration(askShare * float64(x.Path.LatencyTargetMs) * float64(time.Millisecond))
-	}
 	r.counts.add("placements", 1)
-	response, err := r.tellCore(ctx, core, address, request, timeout)
+	response, err := r.tellCore(ctx, core, address, request, askTimeoutOf(x.Path.LatencyTargetMs))
 	if err != nil {
 		r.counts.add("placements_unanswered", 1)
 		return advice{}
@@ -174,6 +172,14 @@
 	return advice{replica: response.Replica, until: time.Now().Add(adviceTime)}
 }
 
+// askTimeoutOf is how long a request with a latency target in milliseconds, 0 for none, waits for a core's choice.
+func askTimeoutOf(targetMs int) time.Duration {
+	if targetMs == 0 {
+		return askTimeout
+	}
+	return min(time.Duration(askShare*float64(targetMs)*float64(time.Millisecond)), maxAskTimeout)
+}
+
 // ask makes the request for the best candidates; without candidates if there is no core to ask.
 func (b *balancer) ask(v *View, sorted []candidate, now time.Time) (core, address string, request inflight.Request) {
 	b.mu.Lock()
--- /dev/null
+++ b/router/balancer_test.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"asterridge/inflight"
+	"asterridge/register"
+)
+
+// A request waits for a core's choice in proportion to its latency target, and never for long.
+func TestWaitForACoreIsShort(t *testing.T) {
+	is := is.New(t)
+	is.Equal(askTimeoutOf(0), askTimeout)
+	is.Equal(askTimeoutOf(600), 30*time.Millisecond)
+	is.Equal(askTimeoutOf(600000), maxAskTimeout)
+}
+
+// A core that has failed is passed over for a while by the next one in rank, and then asked again; a fleet with more replicas than one core
+// owns the loads of has several owners, and each replica's is the same for all proxies.
+func TestOwnersOfLoads(t *testing.T) {
+	is := is.New(t)
+	cores := register.Fields{}
+	for i := range 5 {
+		cores[fmt.Sprint("core-", i)] = fmt.Appendf(nil, "%q", fmt.Sprint("10.0.0.", i, ":7000"))
+	}
+	one, other := newBalancer(), newBalancer()
+	for _, b := range []*balancer{&one, &other} {
+		b.setCores(cores)
+		b.setReplicas(replicasPerCore)
+	}
+	now := time.Now()
+	first := one.owners(now)
+	is.Equal(len(first), 1)
+	is.Equal(first, other.owners(now))
+	one.link(first[0]).pausedUntil = now.Add(askPause)
+	is.True(one.owners(now)[0] != first[0])
+	is.Equal(one.owners(now.Add(askPause)), first)
+	one.setReplicas(3*replicasPerCore + 1)
+	other.setReplicas(3*replicasPerCore + 1)
+	is.Equal(len(one.owners(now.Add(askPause))), 4)
+	is.Equal(one.owners(now.Add(askPause)), other.owners(now))
+	parts := map[int]int{}
+	for i := range 400 {
+		name := fmt.Sprint("replica-", i)
+		is.Equal(one.shard(name), other.shard(name))
+		parts[one.shard(name)]++
+	}
+	is.Equal(len(parts), 4)
+	one.setCores(register.Fields{})
+	is.Equal(one.owners(now), []string{"", "", "", ""})
+	_, _, request := one.ask(&View{}, []candidate{{replica: &replica{load: newLoad()}, cache: &cacheState{}}}, now)
+	is.Equal(request, inflight.Request{}) // nobody to ask
+}
