--- a/agent/forwarding.go
+++ b/agent/forwarding.go
@@ -123,9 +123,9 @@
 	}
 }
 
-// coreSilence is for how long a core may be silent that the proxy is given: longer than a request is held, so that an idle one stays. The
+// coreTimeout is for how long a core may be silent that the proxy is given: longer than a request is held, so that an idle one stays. The
 // proxy leaves alone a core that does not answer it.
-const coreSilence = 2 * membership.LivenessTimeout
+const coreTimeout = 2 * membership.LivenessTimeout
 
 // forwardCores gives the proxy the addresses of the cores that answer.
 func (a *Agent) forwardCores() {
@@ -133,7 +133,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, m := range a.members {
-		if core := a.cores[m.Address]; core != nil && time.Since(core.FreshAsOf(m.Incarnation)) < coreSilence {
+		if core := a.cores[m.Address]; core != nil && time.Since(core.FreshAsOf(m.Incarnation)) < coreTimeout {
 			live[m.Name], _ = json.Marshal(m.Address) // a string always encodes
 		}
 	}
--- a/controlplane/cache_readers.go
+++ b/controlplane/cache_readers.go
@@ -134,11 +134,11 @@
 	c.agentUpdates.PublishDeferred(key, fields, full)
 }
 
-// shareBlocks notes blocks that a proxy has named as shared, tells the other cores, and publishes what this core has held back of them.
-func (c *Core) shareBlocks(blocks []string) {
-	named, full, released := c.prefixes.share(blocks, true)
-	if len(named) > 0 {
-		c.peerUpdates.PublishDeferred(sharedBlocksKey, named, full)
+// addShared notes blocks that a proxy has named as shared, tells the other cores, and publishes what this core has held back of them.
+func (c *Core) addShared(blocks []string) {
+	announced, full, released := c.prefixes.addShared(blocks, true)
+	if len(announced) > 0 {
+		c.peerUpdates.PublishDeferred(sharedBlocksKey, announced, full)
 	}
 	c.publishReleased(released)
 }
@@ -154,7 +154,7 @@
 func (c *Core) applySharedBlocks(response watch.Response) {
 	for _, update := range response.Updates {
 		if update.Key == sharedBlocksKey {
-			_, _, released := c.prefixes.share(slices.Collect(maps.Keys(update.Fields)), false)
+			_, _, released := c.prefixes.addShared(slices.Collect(maps.Keys(update.Fields)), false)
 			c.publishReleased(released)
 		}
 	}
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -244,8 +244,8 @@
 
 // handlePlacement takes what a proxy has in flight, and chooses a replica for a request of it.
 func (c *Core) handlePlacement(_ context.Context, request inflight.Request) (inflight.Response, error) {
-	c.shareBlocks(request.Shared)
-	return c.loads.Place(request), nil
+	c.addShared(request.Shared)
+	return c.loads.Assign(request), nil
 }
 
 // handler has all endpoints of a core.
--- a/controlplane/prefix_filter.go
+++ b/controlplane/prefix_filter.go
@@ -69,26 +69,26 @@
 	}
 }
 
-// share notes blocks as shared, as a proxy has named them to this core (own) or to another one. It gives the blocks that the other cores are
+// addShared notes blocks as shared, as a proxy has named them to this core (own) or to another one. It gives the blocks that the other cores are
 // to be told of, whether they are all that is known now, and by source what was held back of the blocks.
-func (f *prefixFilter) share(blocks []string, own bool) (named register.Fields, full bool, released map[string]register.Fields) {
+func (f *prefixFilter) addShared(blocks []string, own bool) (announced register.Fields, full bool, released map[string]register.Fields) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if full = len(f.sharedBlocks) > maxSharedBlocks; full || f.sharedBlocks == nil {
 		f.sharedBlocks = map[string]bool{}
 	}
-	named, released = register.Fields{}, map[string]register.Fields{}
+	announced, released = register.Fields{}, map[string]register.Fields{}
 	for _, block := range blocks {
-		told, known := f.sharedBlocks[block]
-		f.sharedBlocks[block] = told || own
-		if own && !told {
-			named[block] = json.RawMessage("1")
+		announcedBefore, known := f.sharedBlocks[block]
+		f.sharedBlocks[block] = announcedBefore || own
+		if own && !announcedBefore {
+			announced[block] = json.RawMessage("1")
 		}
 		if !known {
 			f.releaseBlock(block, released)
 		}
 	}
-	return named, full, released
+	return announced, full, released
 }
 
 // releaseBlock adds a block that has become shared to the fields of every source that has it cached unpublished; f.mu is held.
--- a/inflight/table.go
+++ b/inflight/table.go
@@ -63,18 +63,18 @@
 
 // proxyLoads are the loads that one run of a proxy has told.
 type proxyLoads struct {
-	run     string
-	number  uint64
-	toldAt  time.Time
-	replica map[string]Load
+	run        string
+	number     uint64
+	receivedAt time.Time
+	replica    map[string]Load
 }
 
-// Place takes a proxy's loads and gives the best candidate, at which the request counts from then on.
-func (t *Table) Place(request Request) Response {
+// Assign takes a proxy's loads and gives the best candidate, at which the request counts from then on.
+func (t *Table) Assign(request Request) Response {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
-	own := t.tell(request, now)
+	own := t.update(request, now)
 	best, least, bestFull := -1, int64(0), false
 	for i, candidate := range request.Candidates {
 		total := t.total(candidate.Replica, now)
@@ -95,31 +95,31 @@
 	return Response{Replica: chosen.Replica}
 }
 
-// tell replaces a proxy's loads, unless a later message of the same run came before; t.mu is held.
-func (t *Table) tell(request Request, now time.Time) *proxyLoads {
-	told := t.proxies[request.Proxy]
-	if told != nil && told.run == request.Run && told.number >= request.Number {
-		return told
+// update replaces a proxy's loads, unless a later message of the same run came before; t.mu is held.
+func (t *Table) update(request Request, now time.Time) *proxyLoads {
+	loads := t.proxies[request.Proxy]
+	if loads != nil && loads.run == request.Run && loads.number >= request.Number {
+		return loads
 	}
 	if t.proxies == nil {
 		t.proxies = map[string]*proxyLoads{}
 	}
-	told = &proxyLoads{run: request.Run, number: request.Number, toldAt: now, replica: request.Loads}
-	if told.replica == nil {
-		told.replica = map[string]Load{}
+	loads = &proxyLoads{run: request.Run, number: request.Number, receivedAt: now, replica: request.Loads}
+	if loads.replica == nil {
+		loads.replica = map[string]Load{}
 	}
-	t.proxies[request.Proxy] = told
-	return told
+	t.proxies[request.Proxy] = loads
+	return loads
 }
 
 // total sums a replica's loads over the proxies that were heard of late, and forgets the others; t.mu is held.
 func (t *Table) total(replica string, now time.Time) (sum Load) {
-	for name, told := range t.proxies {
-		if now.Sub(told.toldAt) > retention {
+	for name, loads := range t.proxies {
+		if now.Sub(loads.receivedAt) > retention {
 			delete(t.proxies, name)
 			continue
 		}
-		load := told.replica[replica]
+		load := loads.replica[replica]
 		sum.Running += load.Running
 		sum.PrefillMs += load.PrefillMs
 	}
--- a/router/balancer.go
+++ b/router/balancer.go
@@ -22,13 +22,13 @@
 	// replicasPerCore is how many replicas one core owns the loads of: so many that requests have a choice, and so few that a core bears the
 	// messages for them (docs/CAPACITY.md).
 	replicasPerCore = 150
-	// askShare is the part of a latency target that a request waits for a core's choice at the most, askTimeout the time without a target,
-	// maxAskTimeout the longest time.
-	askShare      = 0.05
-	askTimeout    = 25 * time.Millisecond
-	maxAskTimeout = 100 * time.Millisecond
-	// askPause is how long a core that has not answered in time is not asked.
-	askPause = time.Second
+	// timeoutRatio is the part of a latency target that a request waits for a core's choice at the most, queryTimeout the time without a target,
+	// maxQueryTimeout the longest time.
+	timeoutRatio    = 0.05
+	queryTimeout    = 25 * time.Millisecond
+	maxQueryTimeout = 100 * time.Millisecond
+	// coreBackoff is how long a core that has not answered in time is not asked.
+	coreBackoff = time.Second
 	// adviceTime is how long a core's choice counts: a request that waits for longer is placed by what is known then.
 	adviceTime = 250 * time.Millisecond
 	// loadReportDelay is how long the end of a prefill or of an answer may wait to be told along with others.
@@ -57,7 +57,7 @@
 type coreLink struct {
 	number      uint64
 	stale       bool // the core knows less than this router
-	toldAt      time.Time
+	sentAt      time.Time
 	pausedUntil time.Time
 }
 
@@ -145,13 +145,13 @@
 func (f balanceFilter) Handle(ctx context.Context, x *Exchange, onward func(context.Context, *Exchange) error) error {
 	x.advice = advice{}
 	if x.Pool.Kind == config.ModelPool {
-		x.advice = f.r.askPlacement(ctx, x)
+		x.advice = f.r.requestPlacement(ctx, x)
 	}
 	return onward(ctx, x)
 }
 
-// askPlacement asks a core where to place a request. No answer in time is no advice.
-func (r *Router) askPlacement(ctx context.Context, x *Exchange) advice {
+// requestPlacement asks a core where to place a request. No answer in time is no advice.
+func (r *Router) requestPlacement(ctx context.Context, x *Exchange) advice {
 	v, now := r.view.Load(), time.Now()
 	p := v.pools[x.Pool.Name]
 	if p == nil {
@@ -159,12 +159,12 @@
 	}
 	candidates := r.candidates(x, v, p, p.replicas, now)
 	slices.SortFunc(candidates, compareCandidates)
-	core, address, request := r.balancer.ask(v, candidates, now)
+	core, address, request := r.balancer.placementRequest(v, candidates, now)
 	if len(request.Candidates) < 2 {
 		return advice{} // nothing to choose
 	}
 	r.counts.add("placements", 1)
-	response, err := r.tellCore(ctx, core, address, request, askTimeoutOf(x.Path.LatencyTargetMs))
+	response, err := r.sendLoads(ctx, core, address, request, queryTimeoutOf(x.Path.LatencyTargetMs))
 	if err != nil {
 		r.counts.add("placements_unanswered", 1)
 		return advice{}
@@ -172,16 +172,16 @@
 	return advice{replica: response.Replica, until: time.Now().Add(adviceTime)}
 }
 
-// askTimeoutOf is how long a request with a latency target in milliseconds, 0 for none, waits for a core's choice.
-func askTimeoutOf(targetMs int) time.Duration {
+// queryTimeoutOf is how long a request with a latency target in milliseconds, 0 for none, waits for a core's choice.
+func queryTimeoutOf(targetMs int) time.Duration {
 	if targetMs == 0 {
-		return askTimeout
+		return queryTimeout
 	}
-	return min(time.Duration(askShare*float64(targetMs)*float64(time.Millisecond)), maxAskTimeout)
+	return min(time.Duration(timeoutRatio*float64(targetMs)*float64(time.Millisecond)), maxQueryTimeout)
 }
 
-// ask makes the request for the best candidates; without candidates if there is no core to ask.
-func (b *balancer) ask(v *View, sorted []candidate, now time.Time) (core, address string, request inflight.Request) {
+// placementRequest makes the request for the best candidates; without candidates if there is no core to ask.
+func (b *balancer) placementRequest(v *View, sorted []candidate, now time.Time) (core, address string, request inflight.Request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(sorted) == 0 {
@@ -215,22 +215,22 @@
 	return blocks
 }
 
-// tellCore sends a message to a core, and leaves the core alone for a while if it does not answer in time.
-func (r *Router) tellCore(ctx context.Context, core, address string, request inflight.Request, timeout time.Duration) (inflight.Response, error) {
+// sendLoads sends a message to a core, and leaves the core alone for a while if it does not answer in time.
+func (r *Router) sendLoads(ctx context.Context, core, address string, request inflight.Request, timeout time.Duration) (inflight.Response, error) {
 	b := &r.balancer
 	request.Proxy, request.Run = r.options.Name, r.runID
 	b.mu.Lock()
 	link := b.link(core)
 	link.number++
 	request.Number = link.number
-	link.stale, link.toldAt = false, time.Now()
+	link.stale, link.sentAt = false, time.Now()
 	b.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	response, err := rpc.Call[inflight.Response](ctx, r.rpc, address, "/core/place", request)
 	if err != nil {
 		b.mu.Lock()
-		link.stale, link.pausedUntil = true, time.Now().Add(askPause)
+		link.stale, link.pausedUntil = true, time.Now().Add(coreBackoff)
 		b.mu.Unlock()
 	}
 	return response, err
@@ -281,7 +281,7 @@
 	loads := b.loadsByCore(v, owners)
 	for _, core := range owners {
 		link := b.link(core)
-		refresh := len(loads[core]) > 0 && now.Sub(link.toldAt) >= inflight.RefreshInterval
+		refresh := len(loads[core]) > 0 && now.Sub(link.sentAt) >= inflight.RefreshInterval
 		if core != "" && (link.stale || refresh) {
 			due[core] = inflight.Request{Loads: loads[core]}
 		}
@@ -291,7 +291,7 @@
 	var pending sync.WaitGroup
 	for core, request := range due {
 		pending.Go(func() {
-			_, _ = r.tellCore(ctx, core, addresses[core], request, inflight.RefreshInterval) // the next message makes it good
+			_, _ = r.sendLoads(ctx, core, addresses[core], request, inflight.RefreshInterval) // the next message makes it good
 		})
 	}
 	pending.Wait()
--- a/router/balancer_test.go
+++ b/router/balancer_test.go
@@ -14,9 +14,9 @@
 // A request waits for a core's choice in proportion to its latency target, and never for long.
 func TestWaitForACoreIsShort(t *testing.T) {
 	is := is.New(t)
-	is.Equal(askTimeoutOf(0), askTimeout)
-	is.Equal(askTimeoutOf(600), 30*time.Millisecond)
-	is.Equal(askTimeoutOf(600000), maxAskTimeout)
+	is.Equal(queryTimeoutOf(0), queryTimeout)
+	is.Equal(queryTimeoutOf(600), 30*time.Millisecond)
+	is.Equal(queryTimeoutOf(600000), maxQueryTimeout)
 }
 
 // A core that has failed is passed over for a while by the next one in rank, and then asked again; a fleet with more replicas than one core
@@ -36,13 +36,13 @@
 	first := one.owners(now)
 	is.Equal(len(first), 1)
 	is.Equal(first, other.owners(now))
-	one.link(first[0]).pausedUntil = now.Add(askPause)
+	one.link(first[0]).pausedUntil = now.Add(coreBackoff)
 	is.True(one.owners(now)[0] != first[0])
-	is.Equal(one.owners(now.Add(askPause)), first)
+	is.Equal(one.owners(now.Add(coreBackoff)), first)
 	one.setReplicas(3*replicasPerCore + 1)
 	other.setReplicas(3*replicasPerCore + 1)
-	is.Equal(len(one.owners(now.Add(askPause))), 4)
-	is.Equal(one.owners(now.Add(askPause)), other.owners(now))
+	is.Equal(len(one.owners(now.Add(coreBackoff))), 4)
+	is.Equal(one.owners(now.Add(coreBackoff)), other.owners(now))
 	parts := map[int]int{}
 	for i := range 400 {
 		name := fmt.Sprint("replica-", i)
@@ -52,6 +52,6 @@
 	is.Equal(len(parts), 4)
 	one.setCores(register.Fields{})
 	is.Equal(one.owners(now), []string{"", "", "", ""})
-	_, _, request := one.ask(&View{}, []candidate{{replica: &replica{load: newLoad()}, cache: &cacheState{}}}, now)
+	_, _, request := one.placementRequest(&View{}, []candidate{{replica: &replica{load: newLoad()}, cache: &cacheState{}}}, now)
 	is.Equal(request, inflight.Request{}) // nobody to ask
 }
--- a/router/placement.go
+++ b/router/placement.go
@@ -59,8 +59,8 @@
 // bestCandidate gives the replica that a core has named for a request if it can serve still, else the first in the order of
 // compareCandidates; nil if there is none.
 func (r *Router) bestCandidate(x *Exchange, v *View, p *pool, now time.Time) *candidate {
-	if named := v.replicas[x.advice.replica]; named != nil && named.Pool == p.Name && now.Before(x.advice.until) {
-		if candidates := r.candidates(x, v, p, []*replica{named}, now); len(candidates) > 0 {
+	if advised := v.replicas[x.advice.replica]; advised != nil && advised.Pool == p.Name && now.Before(x.advice.until) {
+		if candidates := r.candidates(x, v, p, []*replica{advised}, now); len(candidates) > 0 {
 			return &candidates[0]
 		}
 	}
--- a/sim/placement_test.go
+++ b/sim/placement_test.go
@@ -41,10 +41,10 @@
 
 // engine is a replica that computes its prompts one after another, and whose answers have one chunk.
 type engine struct {
-	mu     sync.Mutex
-	cached map[string]bool // shared segments
-	freeAt time.Time
-	most   time.Duration // that a prompt waited
+	mu          sync.Mutex
+	cached      map[string]bool // shared segments
+	freeAt      time.Time
+	longestWait time.Duration // that a prompt waited
 }
 
 // engineRate is how many units of a prompt an engine computes in a millisecond.
@@ -60,7 +60,7 @@
 		e.cached[shared] = true
 	}
 	now := time.Now()
-	e.most = max(e.most, e.freeAt.Sub(now))
+	e.longestWait = max(e.longestWait, e.freeAt.Sub(now))
 	if e.freeAt.Before(now) {
 		e.freeAt = now
 	}
@@ -175,7 +175,7 @@
 		}
 		core := http.NewServeMux()
 		core.Handle("POST /core/place", rpc.Handler(fleetName, func(_ context.Context, q inflight.Request) (inflight.Response, error) {
-			return f.loads.Place(q), nil
+			return f.loads.Assign(q), nil
 		}))
 		f.serve(placementCore, core)
 		f.configure()
@@ -209,7 +209,7 @@
 		is.True(len(cores) == 0 || f.count("placements") > 0)
 		unanswered = f.count("placements_unanswered")
 		for _, e := range f.engines {
-			longest = max(longest, e.most)
+			longest = max(longest, e.longestWait)
 		}
 		stop()
 		f.running.Wait()
