Shared blocks are named with every request for a place

Change: the blocks are named each time, whether they are known or not. A test counts requests that do not name theirs.

--- a/inflight/table.go
+++ b/inflight/table.go
@@ -45,8 +45,7 @@
 	Loads map[string]Load `json:"loads,omitempty"`
 	// Candidates may be empty: the loads are told only.
 	Candidates []Candidate `json:"candidates,omitempty"`
-	// Shared are the blocks that the request's prompt shares with others, if the proxy knows of no replica that has them cached: the core is to
-	// tell all proxies where they are cached from then on.
+	// Shared are the blocks that the request's prompt may share with others: the cores are to tell all proxies where they are cached.
 	Shared []string `json:"shared,omitempty"`
 }
 
--- a/router/balancer.go
+++ b/router/balancer.go
@@ -199,15 +199,16 @@
 		}
 	}
 	request.Loads = b.loadsByCore(v, owners)[core]
-	request.Shared = unknownBlocks(sorted)
+	request.Shared = sharedBlocks(sorted)
 	return core, b.cores[core], request
 }
 
-// unknownBlocks gives the shared blocks of a prompt that no replica or store is known to have cached whole, in any domain.
-func unknownBlocks(candidates []candidate) (blocks []string) {
+// sharedBlocks gives the blocks of a prompt that others may share, in each cache domain of the candidates. They are named with every request:
+// cores that were restarted know of none, and then hold back which replicas have them.
+func sharedBlocks(candidates []candidate) (blocks []string) {
 	seen := map[*cacheState]bool{}
 	for _, c := range candidates {
-		if !seen[c.cache] && c.cache.maxCached < c.cache.shared {
+		if !seen[c.cache] {
 			blocks = append(blocks, c.cache.sharedBlocks...)
 		}
 		seen[c.cache] = true
--- a/sim/placement_test.go
+++ b/sim/placement_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,6 +86,7 @@
 	proxies int
 	loads   inflight.Table
 	routers []*router.Router
+	unnamed atomic.Int64 // requests for a place that did not name their shared blocks
 	running sync.WaitGroup
 	ctx     context.Context
 }
@@ -175,6 +177,9 @@
 		}
 		core := http.NewServeMux()
 		core.Handle("POST /core/place", rpc.Handler(fleetName, func(_ context.Context, q inflight.Request) (inflight.Response, error) {
+			if len(q.Candidates) > 0 && len(q.Shared) != 1 {
+				f.unnamed.Add(1)
+			}
 			return f.loads.Assign(q), nil
 		}))
 		f.serve(placementCore, core)
@@ -206,6 +211,7 @@
 		asking.Wait()
 		late = float64(slow) / requests
 		is.Equal(f.count("first_chunks"), int64(requests))
+		is.Equal(f.unnamed.Load(), int64(0)) // a core that was restarted knows no shared block
 		is.True(len(cores) == 0 || f.count("placements") > 0)
 		unanswered = f.count("placements_unanswered")
 		for _, e := range f.engines {
