A client that leaves during the question to a core pauses no core

Cause: found by reading: the question ends with its client's context, which counted as the core's silence, so that this proxy passed the core over for a second and its loads went to the next one. A test that fails without the change.

--- a/router/balancer.go
+++ b/router/balancer.go
@@ -216,7 +216,8 @@
 	return blocks
 }
 
-// sendLoads sends a message to a core, and leaves the core alone for a while if it does not answer in time.
+// sendLoads sends a message to a core, and leaves the core alone for a while if it does not answer in time. A client that leaves meanwhile
+// says nothing of the core.
 func (r *Router) sendLoads(ctx context.Context, core, address string, request inflight.Request, timeout time.Duration) (inflight.Response, error) {
 	b := &r.balancer
 	request.Proxy, request.Run = r.options.Name, r.runID
@@ -226,13 +227,17 @@
 	request.Number = link.number
 	link.stale, link.sentAt = false, time.Now()
 	b.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	response, err := rpc.Call[inflight.Response](ctx, r.rpc, address, "/core/place", request)
-	if err != nil {
-		b.mu.Lock()
-		link.stale, link.pausedUntil = true, time.Now().Add(coreBackoff)
-		b.mu.Unlock()
+	response, err := rpc.Call[inflight.Response](bounded, r.rpc, address, "/core/place", request)
+	if err == nil {
+		return response, nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	link.stale = true
+	if ctx.Err() == nil {
+		link.pausedUntil = time.Now().Add(coreBackoff)
 	}
 	return response, err
 }
--- a/router/balancer_test.go
+++ b/router/balancer_test.go
@@ -1,14 +1,17 @@
 package router
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"asterridge/inflight"
 	"asterridge/register"
+	"asterridge/rpc"
 )
 
 // A request waits for a core's choice in proportion to its latency target, and never for long.
@@ -55,3 +58,17 @@
 	_, _, request := one.placementRequest(&View{}, []candidate{{replica: &replica{load: newLoad()}, cache: &cacheState{}}}, now)
 	is.Equal(request, inflight.Request{}) // nobody to ask
 }
+
+// A core that cannot be reached is passed over for a while; that a client has left before the answer says nothing of the core.
+func TestClientThatLeavesPausesNoCore(t *testing.T) {
+	is := is.New(t)
+	r := New(Options{Name: "p", Net: &rpc.TCP{}, Log: zerolog.Nop()})
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	_, err := r.sendLoads(left, "core", "127.0.0.1:1", inflight.Request{}, time.Second)
+	is.True(err != nil)
+	is.True(r.balancer.link("core").pausedUntil.IsZero())
+	_, err = r.sendLoads(context.Background(), "core", "127.0.0.1:1", inflight.Request{}, time.Second)
+	is.True(err != nil)
+	is.True(time.Now().Before(r.balancer.link("core").pausedUntil))
+}
