--- a/controlplane/prefix_filter.go
+++ b/controlplane/prefix_filter.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strconv"
 	"sync"
+	"time"
 
 	"asterridge/register"
 )
@@ -11,6 +12,10 @@
 // maxSharedBlocks is how many blocks are remembered as shared; beyond it all are forgotten and learned anew.
 const maxSharedBlocks = 200000
 
+// startupPublication is for how long from its first source on a core publishes all that is cached: it knows no shared block yet, and proxies
+// that were restarted with it know no replica.
+const startupPublication = 20 * time.Second
+
 // sharedBlocksKey has, among cores, the blocks that proxies have named as such that prompts share.
 const sharedBlocksKey = "shared"
 
@@ -21,6 +26,8 @@
 	mu sync.Mutex
 	// sharedBlocks are the blocks that proxies have named; true: to this core, which has told the others.
 	sharedBlocks map[string]bool
+	// startedAt is when the first source was read.
+	startedAt time.Time
 	// sources are what was read, by the key of the updates.
 	sources map[string]*cacheSource
 }
@@ -35,6 +42,10 @@
 func (f *prefixFilter) update(source string, blocks map[string]int, full bool) register.Fields {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.startedAt.IsZero() {
+		f.startedAt = time.Now()
+	}
+	all := full || time.Since(f.startedAt) < startupPublication
 	s := f.sources[source]
 	if s == nil || full {
 		s = &cacheSource{cached: map[string]int{}, published: map[string]bool{}}
@@ -50,7 +61,7 @@
 		} else {
 			delete(s.cached, block)
 		}
-		f.publishBlock(s, block, full, fields)
+		f.publishBlock(s, block, all, fields)
 	}
 	return fields
 }
--- a/sim/kept_test.go
+++ b/sim/kept_test.go
@@ -128,6 +128,7 @@
 func TestOnlySharedBlocksAreToldOf(t *testing.T) {
 	t.Parallel()
 	keeping(t, 235, func(is *is.I, f *Fleet, b *backends, agents []*watch.Client) {
+		time.Sleep(25 * time.Second) // the cores have just started, and publish everything
 		sources := map[string]string{theStore: storeAt}
 		for name, r := range b.replicas {
 			sources[name] = r.Address
