A member is removed for silence only by a majority of the others, and by its number

Cause: the core that the members' register is drawn to removed a member that it alone could not hear (docs/control.md §3, not covered). An operator's late retire NAME could meet a successor of that name. Change: before a member is removed for its silence the core asks the others (POST /core/silence) and needs a majority of the list, the member apart, that has missed it for as long. Changes name the member's number, admissions the joiner's incarnation; one that was made before is acknowledged without effect.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -257,6 +257,7 @@
 	mux.Handle("POST /core/hold", rpc.Handler(fleet, c.handleThrottle))
 	mux.Handle("POST /core/place", rpc.Handler(fleet, c.handlePlacement))
 	mux.Handle("POST /register/promise", rpc.Handler(fleet, c.handlePrepare))
+	mux.Handle("POST /core/silence", rpc.Handler(fleet, c.handleSilence))
 	mux.Handle("POST /register/confirm", rpc.Handler(fleet, c.handleConfirm))
 	mux.Handle("POST /register/accept", rpc.Handler(fleet, c.handleAccept))
 	mux.Handle("POST /register/settle", rpc.Handler(fleet, c.handleCommit))
--- a/controlplane/leave.go
+++ b/controlplane/leave.go
@@ -70,6 +70,6 @@
 	case !c.membershipView().MayLeave(list.Members, c.host.Name):
 		return false, apierror.New(apierror.OutOfRange, "%d members would be left", len(list.Members)-1)
 	}
-	_, err = c.operations.membership.submit(ctx, membership.Change{Action: membership.Leave, Name: c.host.Name})
+	_, err = c.operations.membership.submit(ctx, membership.Change{Action: membership.Leave, Name: c.host.Name, MemberID: c.memberID.Load()})
 	return false, err
 }
--- a/controlplane/liveness.go
+++ b/controlplane/liveness.go
@@ -1,12 +1,15 @@
 package controlplane
 
 import (
+	"context"
 	"encoding/json"
 	"maps"
 	"time"
 
 	"asterridge/config"
+	"asterridge/membership"
 	"asterridge/protocol"
+	"asterridge/rpc"
 )
 
 // unresponsiveFile notes which members were unresponsive, so that a restart of all cores does not begin the count anew.
@@ -35,6 +38,57 @@
 	return time.Time{}
 }
 
+// SilenceRequest asks a core for how long it has not heard a member.
+type SilenceRequest struct {
+	Member config.Member `json:"member"`
+}
+
+// SilenceResponse is the time for which the core has not heard the member; 0 while it has not heard a majority for long enough to tell.
+type SilenceResponse struct {
+	UnresponsiveMs int64 `json:"unresponsive_ms"`
+}
+
+func (c *Core) handleSilence(_ context.Context, request SilenceRequest) (SilenceResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.liveness.Stable() {
+		return SilenceResponse{}, nil
+	}
+	return SilenceResponse{UnresponsiveMs: c.liveness.UnresponsiveFor(request.Member).Milliseconds()}, nil
+}
+
+// isConfirmed reports whether a proposal stands on more than this core's own word: a member is removed for its silence only if a majority of
+// the others has missed it for as long. Who does not answer, or is from an earlier build, has not missed it.
+func (c *Core) isConfirmed(ctx context.Context, proposal membership.Proposal, members []config.Member) bool {
+	if proposal.Silence == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, protocol.HelloTimeout)
+	defer cancel()
+	answers := make(chan bool, len(members))
+	asked := 0
+	for _, m := range members {
+		if m.ID == proposal.Member.ID || m.Incarnation == c.incarnation {
+			continue
+		}
+		asked++
+		go func() {
+			response, err := rpc.Call[SilenceResponse](ctx, c.rpc, m.Address, "/core/silence", SilenceRequest{Member: proposal.Member})
+			answers <- err == nil && response.UnresponsiveMs >= proposal.Silence.Milliseconds()
+		}()
+	}
+	voices := 1 // this core's
+	for range asked {
+		if <-answers {
+			voices++
+		}
+		if membership.IsMissed(voices, len(members)) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordUnresponsive writes down who is unresponsive. Nothing waits for the disk.
 func (c *Core) recordUnresponsive() {
 	c.recordingSlot <- struct{}{}
--- a/controlplane/membership.go
+++ b/controlplane/membership.go
@@ -269,7 +269,8 @@
 	if transferring || !record.IsCommitted() || rendezvous.Pick(config.MembersKey, c.live()) != c.host.Name {
 		return
 	}
-	change, due := c.membershipView().Next(membership.Decode(record.Fields).Members, time.Now())
+	members := membership.Decode(record.Fields).Members
+	proposal, due := c.membershipView().Next(members, time.Now())
 	if !due || !c.reconcileMu.TryLock() {
 		return
 	}
@@ -277,7 +278,10 @@
 		defer c.reconcileMu.Unlock()
 		ctx, cancel := context.WithTimeout(ctx, protocol.OperationTimeout)
 		defer cancel()
-		if _, err := c.applyMembershipChange(ctx, change); err == nil { // a failure is logged there, and the next tick looks again
+		if !c.isConfirmed(ctx, proposal, members) {
+			return
+		}
+		if _, err := c.applyMembershipChange(ctx, proposal.Change); err == nil { // a failure is logged there, and the next tick looks again
 			c.wake()
 		}
 	}()
--- a/controlplane/messages_test.go
+++ b/controlplane/messages_test.go
@@ -50,6 +50,8 @@
 		{Name: "POST /op/models", Type: ModelVersionChange{}},
 		{Name: "POST /op/retirement", Type: RetirementChange{}},
 		{Name: "POST /op/advance", Type: RetirementStep{}},
+		{Name: "POST /core/silence: question", Type: SilenceRequest{}},
+		{Name: "POST /core/silence: answer", Type: SilenceResponse{}},
 		{Name: "POST /core/place", Type: inflight.Request{}},
 		{Name: "POST /core/place: answer", Type: inflight.Response{}},
 		{Name: "answer to an accepted change", Type: Accepted{}},
--- a/controlplane/queries.go
+++ b/controlplane/queries.go
@@ -116,7 +116,7 @@
 	}
 	now := c.membership()
 	for _, m := range now.members {
-		rows = append(rows, router.Row{"id": m.ID, "name": m.Name, "address": m.Address, "zone": m.Zone, "live": live[m.Name], "state": stateMember})
+		rows = append(rows, router.Row{"id": m.ID, "name": m.Name, "address": m.Address, "zone": m.Zone, "live": live[m.Name], "state": stateMember, "incarnation": m.Incarnation})
 	}
 	if c.acceptor.Read(config.MembersKey).Fields[membership.PreviousField] != nil {
 		rows = append(rows, router.Row{"name": "(keys are being carried over to this list)", "state": stateTransferring})
@@ -126,7 +126,7 @@
 	for _, joiner := range c.joiners {
 		if time.Since(joiner.HeardAt) < membership.JoinerTimeout && !now.hasIncarnation(joiner.Incarnation) {
 			rows = append(rows, router.Row{"name": joiner.Name, "address": joiner.Address, "zone": joiner.Zone, "live": true,
-				"state": router.JoinerState, "image": joiner.CaughtUp})
+				"state": router.JoinerState, "image": joiner.CaughtUp, "incarnation": joiner.Incarnation})
 		}
 	}
 	return rows
--- a/membership/change.go
+++ b/membership/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -43,15 +44,22 @@
 type Change struct {
 	Action Action `json:"do"`
 	Name   string `json:"name"`
+	// MemberID is the ID of the member to be taken off, so that a late copy never meets a successor of its name; 0: whoever has the name.
+	MemberID uint32 `json:"id,omitempty"`
+	// Incarnation is that of the joiner to be admitted; empty: whoever calls under the name.
+	Incarnation string `json:"incarnation,omitempty"`
 	// ReplacedBy is the incarnation that stands at the member's name or address now, so that the member's disk is gone for sure; empty if
 	// that is not known.
 	ReplacedBy string `json:"lost,omitempty"`
 }
 
-// Apply works out the change of the members' register, under the guards of each action. The errors are apierror.Conflict while keys are
-// still transferred, apierror.NotFound, Exists, Behind and OutOfRange.
+// Apply works out the change of the members' register, under the guards of each action; none if it was made before. The errors are
+// apierror.Conflict while keys are still transferred, apierror.NotFound, Exists, Behind and OutOfRange.
 func (c Change) Apply(fields register.Fields, view View, now time.Time) (register.Fields, error) {
 	list := Decode(fields)
+	if c.isDone(list) {
+		return nil, nil
+	}
 	if list.Previous != nil {
 		return nil, apierror.New(apierror.Conflict, "the change of members before is not carried through yet")
 	}
@@ -63,9 +71,22 @@
 	return change, nil
 }
 
+// IsIdempotent reports whether a copy of the change that arrives late can do no harm.
+func (c Change) IsIdempotent() bool { return c.MemberID != 0 || c.Incarnation != "" }
+
+// isDone reports whether the list shows that the change was made before: the member of that ID is off it, or the joiner of that incarnation
+// is on it. IDs are never given twice.
+func (c Change) isDone(list List) bool {
+	if c.Action == Admit {
+		return c.Incarnation != "" && HasIncarnation(list.Members, c.Incarnation)
+	}
+	isMember := slices.ContainsFunc(list.Members, func(m config.Member) bool { return m.ID == c.MemberID })
+	return c.MemberID != 0 && c.MemberID <= list.HighestID && !isMember
+}
+
 func (c Change) apply(fields register.Fields, list List, view View, now time.Time) (register.Fields, error) {
 	if c.Action == Admit {
-		member, err := view.newMember(c.Name, list, now)
+		member, err := view.newMember(c.Name, c.Incarnation, list, now)
 		if err != nil {
 			return nil, err
 		}
@@ -76,8 +97,8 @@
 	if c.Action != Remove && c.Action != Leave {
 		return nil, apierror.New(apierror.OutOfRange, "%q is none of admit, retire and leave", c.Action)
 	}
-	if fields[c.Name] == nil {
-		return nil, apierror.New(apierror.NotFound, "no member %q", c.Name)
+	if !slices.ContainsFunc(list.Members, c.concerns) {
+		return nil, apierror.New(apierror.NotFound, "no member %q, or not under the number %d", c.Name, c.MemberID)
 	}
 	if c.Action == Remove {
 		if err := c.checkRemoval(list, view); err != nil {
@@ -89,6 +110,11 @@
 	return register.Fields{c.Name: nil, HighestIDField: encodeID(list.HighestID)}, nil
 }
 
+// concerns reports whether a member is the one that the change takes off.
+func (c Change) concerns(m config.Member) bool {
+	return m.Name == c.Name && (c.MemberID == 0 || m.ID == c.MemberID)
+}
+
 // checkRemoval makes sure that enough members are left, and a majority of them live.
 func (c Change) checkRemoval(list List, view View) error {
 	live := 0
--- a/membership/view.go
+++ b/membership/view.go
@@ -16,11 +16,11 @@
 	Tolerance Tolerance
 }
 
-// newMember makes a member of a joiner that has caught up.
-func (v View) newMember(name string, list List, now time.Time) (config.Member, error) {
+// newMember makes a member of a joiner that has caught up; an empty incarnation is any.
+func (v View) newMember(name, incarnation string, list List, now time.Time) (config.Member, error) {
 	joiner, ok := v.Joiners[name]
 	switch {
-	case !ok || now.Sub(joiner.HeardAt) > JoinerTimeout:
+	case !ok || now.Sub(joiner.HeardAt) > JoinerTimeout || incarnation != "" && incarnation != joiner.Incarnation:
 		return config.Member{}, apierror.New(apierror.NotFound, "no core %q calls on us to be admitted", name)
 	case !joiner.CaughtUp:
 		return config.Member{}, apierror.New(apierror.Behind, "%s has no full snapshot of the keys yet", name)
@@ -45,60 +45,73 @@
 		(spare >= v.Tolerance.Losses(rest) || spare > SpareLosses(len(members), unresponsive+1))
 }
 
+// Proposal is a change of members that one core holds to be due.
+type Proposal struct {
+	Change
+	// Silence is for how long a majority of the other members must have missed the member that the change removes; 0: they need not be asked.
+	Silence time.Duration
+	Member  config.Member // that is to be removed for its silence
+}
+
 // Next gives the change of members that is due, if any: a member whose place another disk has taken is removed, a joiner that has caught up
 // is admitted, and a member that is lost is removed.
-func (v View) Next(members []config.Member, now time.Time) (Change, bool) {
+func (v View) Next(members []config.Member, now time.Time) (Proposal, bool) {
 	for _, joiner := range v.Joiners {
 		if now.Sub(joiner.HeardAt) > JoinerTimeout/3 || HasIncarnation(members, joiner.Incarnation) {
 			continue
 		}
-		if conflicting := memberAt(members, joiner); conflicting != "" {
-			return Change{Action: Remove, Name: conflicting, ReplacedBy: joiner.Incarnation}, true
+		if conflicting, ok := memberAt(members, joiner); ok {
+			return Proposal{Change: Change{Action: Remove, Name: conflicting.Name, MemberID: conflicting.ID, ReplacedBy: joiner.Incarnation}}, true
 		}
 		if joiner.CaughtUp {
-			return Change{Action: Admit, Name: joiner.Name}, true
+			return Proposal{Change: Change{Action: Admit, Name: joiner.Name, Incarnation: joiner.Incarnation}}, true
 		}
 	}
 	if !v.Liveness.Stable() {
-		return Change{}, false
+		return Proposal{}, false
 	}
 	for _, m := range members {
-		if v.isLost(m, members) {
-			return Change{Action: Remove, Name: m.Name}, true
+		if silence, lost := v.isLost(m, members); lost {
+			return Proposal{Change: Change{Action: Remove, Name: m.Name, MemberID: m.ID}, Silence: silence, Member: m}, true
 		}
 	}
-	return Change{}, false
+	return Proposal{}, false
 }
 
-// memberAt names the member that has a joiner's name or address; empty if there is none.
-func memberAt(members []config.Member, joiner Joiner) (name string) {
+// IsMissed reports whether so many of the members have missed one that it may be removed for its silence: a majority of all the others, so
+// that it takes more than one broken link.
+func IsMissed(voices, members int) bool { return voices >= Majority(members-1) }
+
+// memberAt finds a member that has a joiner's name or address.
+func memberAt(members []config.Member, joiner Joiner) (config.Member, bool) {
 	for _, m := range members {
 		if m.Name == joiner.Name || m.Address == joiner.Address {
-			name = m.Name
+			return m, true
 		}
 	}
-	return name
+	return config.Member{}, false
 }
 
-// isLost reports whether a member has been unresponsive for so long that it is to be removed: one that has a replacement, or one without
-// whom the others bear the tolerated losses, or more losses than with it once all that are lost like it are removed.
-func (v View) isLost(m config.Member, members []config.Member) bool {
+// isLost reports whether a member has been unresponsive for so long that it is to be removed, and for how long that is: one that has a
+// replacement, or one without whom the others bear the tolerated losses, or more losses than with it once all that are lost like it are
+// removed.
+func (v View) isLost(m config.Member, members []config.Member) (silence time.Duration, lost bool) {
 	unresponsiveFor := v.Liveness.UnresponsiveFor(m)
 	if unresponsiveFor < ReplacementTimeout {
-		return false
+		return 0, false
 	}
 	if v.Liveness.Replaced(m, members) {
-		return true
+		return ReplacementTimeout, true
 	}
 	if unresponsiveFor < RemovalTimeout {
-		return false
+		return 0, false
 	}
 	rest := without(members, m.Name)
 	if len(rest) < minMembers {
-		return false
+		return 0, false
 	}
 	unresponsive := v.Liveness.CountUnresponsive(members, LivenessTimeout)
 	removed := min(v.Liveness.CountUnresponsive(members, RemovalTimeout), len(members)-minMembers)
-	return SpareLosses(len(rest), unresponsive-1) >= v.Tolerance.Losses(rest) ||
+	return RemovalTimeout, SpareLosses(len(rest), unresponsive-1) >= v.Tolerance.Losses(rest) ||
 		SpareLosses(len(members)-removed, unresponsive-removed) > SpareLosses(len(members), unresponsive)
 }
