Operators' orders bear idempotency keys, remembered in the register on a majority

Cause: an order in the product's own language that was sent again after a lost answer was a new one: add was told 309, revoke and grant of the same key were refused (docs/control.md §2, not covered). Change: package idempotency: the last 256 orders of a register by key, in the register itself (under 40 KB); the same order again is answered as it was, another order under the key is refused (315), and one that may have been forgotten is told so (316) if it names the version known before it was sent. asterridgectl draws a key for each order and sends it again for 30 s; -key sends one once more.

--- a/apierror/apierror.go
+++ b/apierror/apierror.go
@@ -89,6 +89,8 @@
 	Torn         = code(312, "torn_file", 500, NotRun, "a file is torn or foreign")
 	OtherMembers = code(313, "other_members", 409, NotRun, "the two cores do not act on the same list of members")
 	OtherVersion = code(314, "other_version", 400, NotRun, "a message of another version of the daemons' talk")
+	KeyReused    = code(315, "idempotency_key_reused", 409, NotRun, "another order was applied under this idempotency key; this one was not")
+	Forgotten    = code(316, "order_forgotten", 409, Unknown, "the order may have been applied: it was first sent before what is remembered")
 
 	NoBuild  = code(330, "no_build", 409, NotRun, "an adapter has no build for the new base")
 	Crossed  = code(331, "crossed_retirement", 409, NotRun, "another retirement has the model in hand, or has taken it away")
--- a/cmd/asterridgectl/main.go
+++ b/cmd/asterridgectl/main.go
@@ -5,17 +5,14 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"slices"
 	"sort"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"asterridge/apierror"
 	"asterridge/controlplane"
@@ -50,6 +47,7 @@
 	cores := set.String("cores", os.Getenv("ASTERRIDGE_CORES"), "`ip:port`s of cores, with commas; also from ASTERRIDGE_CORES")
 	fleet := set.String("fleet", "asterridge", "the fleet's `name`")
 	format := set.String("format", "table", "table or json")
+	key := set.String("key", "", "idempotency `key` of the order, as a lost answer's message gives it; empty: a new one for each order")
 	explain := func(w io.Writer) {
 		fmt.Fprintf(w, usage, strings.Join(things, " "))
 		set.SetOutput(w)
@@ -57,7 +55,7 @@
 	}
 	set.Usage = func() { explain(os.Stderr) }
 	_ = set.Parse(os.Args[1:]) // ExitOnError
-	s := &session{wire: rpc.NewClient(*fleet, &rpc.TCP{}), out: os.Stdout, jSON: *format == "json", explain: explain}
+	s := &session{wire: rpc.NewClient(*fleet, &rpc.TCP{}), key: *key, out: os.Stdout, jSON: *format == "json", explain: explain}
 	for _, core := range strings.Split(*cores, ",") {
 		if core = strings.TrimSpace(core); core != "" {
 			s.cores = append(s.cores, core)
@@ -87,8 +85,11 @@
 }
 
 type session struct {
-	wire    *rpc.Client
-	cores   []string
+	wire  *rpc.Client
+	cores []string
+	// key is the operator's own idempotency key, and after a colon the version known before the order was first sent; empty: one is drawn
+	// for each order.
+	key     string
 	out     io.Writer
 	jSON    bool
 	explain func(io.Writer)
@@ -120,7 +121,7 @@
 		s.print(a)
 		return 0
 	}
-	a, err := call[controlplane.Accepted](s, "/op/"+c.order, c.body)
+	a, err := s.submit(c)
 	if err != nil {
 		return s.failed(err)
 	}
@@ -160,17 +161,13 @@
 	var none A
 	err := error(apierror.New(apierror.Unreachable, "no core given: use -cores"))
 	for _, core := range s.cores {
-		ctx, stop := context.WithTimeout(context.Background(), 10*time.Second)
+		ctx, stop := context.WithTimeout(context.Background(), callTimeout)
 		var a A
 		a, err = rpc.Call[A](ctx, s.wire, core, path, q)
 		stop()
 		if err == nil || !apierror.Is(err, apierror.Unreachable) {
 			return a, err
 		}
-		var dial *net.OpError
-		if order := strings.HasPrefix(path, "/op/"); order && !(errors.As(err, &dial) && dial.Op == "dial") {
-			return none, apierror.New(apierror.Undecided, "%v", err) // it may have been taken: not asked of another core
-		}
 	}
 	return none, err
 }
--- /dev/null
+++ b/cmd/asterridgectl/order.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"asterridge/apierror"
+	"asterridge/controlplane"
+	"asterridge/membership"
+	"asterridge/rpc"
+)
+
+const (
+	// callTimeout bounds one call to one core.
+	callTimeout = 10 * time.Second
+	// orderTimeout is for how long an order whose answer is lost is sent again; the pause between two copies doubles from firstPause on.
+	orderTimeout = 30 * time.Second
+	firstPause   = 100 * time.Millisecond
+	maxPause     = 2 * time.Second
+)
+
+// submit names an order and sends it to the cores until one of them answers whether it was applied. Each copy bears the same name, so the
+// order has its effect once. The error is apierror.Undecided or Unreachable if no such answer came.
+func (s *session) submit(c command) (controlplane.Accepted, error) {
+	if err := s.name(c); err != nil {
+		return controlplane.Accepted{}, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	for pause := firstPause; ; pause = min(2*pause, maxPause) {
+		accepted, err := call[controlplane.Accepted](s, "/op/"+c.order, c.body)
+		isLost := apierror.Is(err, apierror.Unreachable) || apierror.Is(err, apierror.Undecided)
+		if !isLost || rpc.Sleep(ctx, pause) != nil {
+			return accepted, c.explainLost(err, isLost)
+		}
+	}
+}
+
+// explainLost tells how to ask again for an order whose answer is lost.
+func (c command) explainLost(err error, isLost bool) error {
+	if !isLost || c.key == nil {
+		return err
+	}
+	return apierror.Wrap(err, apierror.Undecided,
+		fmt.Sprintf("whether it was applied is not known; the same order with -key %s:%d has its effect once", c.key.IdempotencyKey, c.key.KnownVersion))
+}
+
+// name gives an order the idempotency key, or the member, that tells it from all others.
+func (s *session) name(c command) error {
+	switch {
+	case c.member != nil:
+		return s.nameMember(c.member)
+	case c.key == nil:
+		return nil
+	}
+	if s.key != "" { // sent before
+		text, version, _ := strings.Cut(s.key, ":")
+		c.key.IdempotencyKey = text
+		c.key.KnownVersion, _ = strconv.ParseUint(version, 10, 64) // without one a forgotten order counts as new
+		return nil
+	}
+	c.key.IdempotencyKey = rand.Text()
+	known, err := call[controlplane.CommitResponse](s, "/op/settle", controlplane.CommitRequest{Key: c.register})
+	c.key.KnownVersion = known.Revision.Version
+	return err
+}
+
+// nameMember adds to a change of the members which member or joiner of that name it means.
+func (s *session) nameMember(change *membership.Change) error {
+	answer, err := call[controlplane.QueryResponse](s, "/query", controlplane.Query{Kind: "members", Where: []controlplane.Condition{
+		{Field: "name", Operator: "=", Value: change.Name},
+	}})
+	if err != nil {
+		return err
+	}
+	for _, row := range answer.Rows {
+		id, isMember := row["id"].(float64) // numbers of JSON
+		incarnation, _ := row["incarnation"].(string)
+		switch {
+		case change.Action == membership.Remove && isMember:
+			change.MemberID = uint32(id)
+		case change.Action == membership.Admit && !isMember:
+			change.Incarnation = incarnation
+		}
+	}
+	return nil
+}
--- a/cmd/asterridgectl/parse.go
+++ b/cmd/asterridgectl/parse.go
@@ -9,6 +9,7 @@
 	"asterridge/apierror"
 	"asterridge/config"
 	"asterridge/controlplane"
+	"asterridge/idempotency"
 	"asterridge/membership"
 )
 
@@ -17,9 +18,14 @@
 	query *controlplane.Query
 	order string // endpoint below /op/
 	body  any
-	file  string // of apply and merge: read into the order's text
-	help  bool
-	quit  bool
+	// key is the order's idempotency key within the body, register what the order changes; nil for changes of the members.
+	key      *idempotency.Key
+	register string
+	// member is the change of the members within the body; nil for other orders.
+	member *membership.Change
+	file   string // of apply and merge: read into the order's text
+	help   bool
+	quit   bool
 }
 
 // token is a word, a quoted string or a symbol, with its place in the line.
@@ -237,9 +243,14 @@
 	}
 }
 
+// configCommand makes the command that sends a change of the configuration.
+func configCommand(change *controlplane.ConfigChange) command {
+	return command{order: config.Key, body: change, key: &change.Key, register: config.Key}
+}
+
 func partial(doc any, named string) command {
 	raw, _ := json.Marshal(doc) // maps of plain values always encode
-	return command{order: config.Key, body: &controlplane.ConfigChange{Text: raw, Partial: true, NameCondition: named}}
+	return configCommand(&controlplane.ConfigChange{Text: raw, Partial: true, NameCondition: named})
 }
 
 func (r *reader) declare(verb string) (command, error) {
@@ -300,7 +311,8 @@
 		return command{}, err
 	}
 	tenant, err := r.name("tenant")
-	return command{order: "keys", body: &controlplane.AccessKeyChange{Tenant: tenant, Hash: config.HashKey(key), Revoked: revoked}}, err
+	change := &controlplane.AccessKeyChange{Tenant: tenant, Hash: config.HashKey(key), Revoked: revoked}
+	return command{order: "keys", body: change, key: &change.Key, register: change.Register()}, err
 }
 
 func (r *reader) members(verb string) (command, error) {
@@ -312,7 +324,8 @@
 		return r.retireModel(err)
 	}
 	name, err := r.name("name")
-	return command{order: "members", body: &membership.Change{Action: membership.Action(verb), Name: name}}, err
+	change := &membership.Change{Action: membership.Action(verb), Name: name}
+	return command{order: "members", body: change, member: change}, err
 }
 
 func (r *reader) apply(partial bool) (command, error) {
@@ -335,5 +348,7 @@
 		}
 		o.ExpectedVersion = &version
 	}
-	return command{order: config.Key, body: o, file: file}, nil
+	c := configCommand(o)
+	c.file = file
+	return c, nil
 }
--- a/cmd/asterridgectl/retire.go
+++ b/cmd/asterridgectl/retire.go
@@ -1,6 +1,9 @@
 package main
 
-import "asterridge/controlplane"
+import (
+	"asterridge/config"
+	"asterridge/controlplane"
+)
 
 // between reads NAME WORD NAME WORD NAME …: the names between the given words.
 func (r *reader) between(first string, words ...string) (names []string, err error) {
@@ -36,7 +39,12 @@
 	if err != nil {
 		return command{}, err
 	}
-	return command{order: "retirement", body: &controlplane.RetirementChange{Action: "retire", Old: n[0], New: n[1]}}, nil
+	return retirementCommand(&controlplane.RetirementChange{Action: "retire", Old: n[0], New: n[1]}), nil
+}
+
+// retirementCommand makes the command that begins or undoes a retirement.
+func retirementCommand(change *controlplane.RetirementChange) command {
+	return command{order: "retirement", body: change, key: &change.Key, register: config.RetirementKey}
 }
 
 // undo reads what follows "undo"; the model need be named only where several retirements run.
@@ -48,5 +56,5 @@
 			o.Old, err = r.name("model")
 		}
 	}
-	return command{order: "retirement", body: o}, err
+	return retirementCommand(o), err
 }
--- a/config/adapter.go
+++ b/config/adapter.go
@@ -1,11 +1,13 @@
 package config
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"time"
 
 	"asterridge/apierror"
+	"asterridge/idempotency"
 	"asterridge/register"
 )
 
@@ -92,7 +94,9 @@
 	if err != nil {
 		return nil, RoleHolder{}, err
 	}
-	delete(fields, RoleHolderField)
+	maps.DeleteFunc(fields, func(field string, _ json.RawMessage) bool {
+		return field == RoleHolderField || idempotency.IsField(field)
+	})
 	all, err := Load[Retirement](fields)
 	return all, holder[RoleHolderField], err
 }
--- a/config/numbered.go
+++ b/config/numbered.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"asterridge/apierror"
+	"asterridge/idempotency"
 	"asterridge/register"
 )
 
@@ -31,9 +32,9 @@
 	Text  json.RawMessage `json:"text"`
 }
 
-// IsText reports whether a field only holds what operators wrote; the data plane has no use for it.
+// IsText reports whether a field only holds what operators wrote or when; the data plane has no use for it.
 func IsText(field string) bool {
-	return field == numberField || strings.HasPrefix(field, textPrefix) || strings.HasPrefix(field, acceptedPrefix)
+	return field == numberField || strings.HasPrefix(field, textPrefix) || strings.HasPrefix(field, acceptedPrefix) || idempotency.IsField(field)
 }
 
 // Number gives the accepted number; 0: the configuration is not numbered.
@@ -95,7 +96,7 @@
 		if strings.HasPrefix(field, acceptedPrefix) {
 			continue
 		}
-		if !d.Full || field == "hold" {
+		if !d.Full || field == "hold" || idempotency.IsField(field) {
 			made[field] = raw
 		}
 		var t text
--- a/controlplane/access_keys.go
+++ b/controlplane/access_keys.go
@@ -6,6 +6,7 @@
 
 	"asterridge/apierror"
 	"asterridge/config"
+	"asterridge/idempotency"
 	"asterridge/register"
 )
 
@@ -14,26 +15,29 @@
 
 // AccessKeyChange adds or revokes a tenant's access key. Only the key's hash is sent and stored.
 type AccessKeyChange struct {
+	idempotency.Key
 	Tenant  string `json:"tenant"`
 	Hash    string `json:"hash"`
 	Revoked bool   `json:"revoked"`
 }
 
-func (order AccessKeyChange) register() string { return config.KeysPrefix + order.Tenant }
+// Register is the register that the change concerns.
+func (order AccessKeyChange) Register() string { return config.KeysPrefix + order.Tenant }
 
 // applyAccessKey adds a key to the present incarnation of a tenant, or revokes one. A revoked key does not come back.
 func (c *Core) applyAccessKey(ctx context.Context, order AccessKeyChange) (Accepted, error) {
 	if order.Tenant == "" || len(order.Hash) != accessKeyHashLength {
 		return Accepted{}, apierror.New(apierror.Missing, "a key order needs a tenant and a key's hash of %d hex digits", accessKeyHashLength)
 	}
-	incarnation, err := c.tenantIncarnation(ctx, order.Tenant)
-	if err != nil && !order.Revoked {
-		return Accepted{}, err
-	}
-	revision, err := c.owner.Change(ctx, order.register(), func(present register.Fields, _ uint64) (register.Fields, error) {
+	incarnation, noTenant := c.tenantIncarnation(ctx, order.Tenant)
+	idempotencyKey := order.Key
+	order.Key = idempotency.Key{}
+	return c.changeOnce(ctx, order.Register(), "access key", idempotencyKey, order, func(present register.Fields, _ uint64) (register.Fields, error) {
 		var key config.Access
 		exists := present[order.Hash] != nil && json.Unmarshal(present[order.Hash], &key) == nil
 		switch {
+		case noTenant != nil && !order.Revoked:
+			return nil, noTenant
 		case order.Revoked && !exists:
 			return nil, apierror.New(apierror.NotFound, "tenant %s has no such key", order.Tenant)
 		case order.Revoked:
@@ -44,8 +48,6 @@
 		}
 		return config.Field(order.Hash, config.Access{TenantVersion: incarnation}), nil
 	})
-	c.logOutcome("access key", order.register(), revision, err)
-	return Accepted{Version: revision.Version}, err
 }
 
 // tenantIncarnation gives the configuration's version that created a tenant, no older than at the time of the call. The error is
--- a/controlplane/config.go
+++ b/controlplane/config.go
@@ -6,6 +6,7 @@
 
 	"asterridge/apierror"
 	"asterridge/config"
+	"asterridge/idempotency"
 	"asterridge/register"
 )
 
@@ -17,6 +18,7 @@
 
 // ConfigChange is a whole or partial configuration from an operator.
 type ConfigChange struct {
+	idempotency.Key
 	Text    json.RawMessage `json:"text"`
 	Partial bool            `json:"partial"`
 	// ExpectedVersion is the version that the operator saw; nil: any.
@@ -27,7 +29,9 @@
 
 // applyConfig merges or replaces the configuration. What stands already is no change, so the same order may come again.
 func (c *Core) applyConfig(ctx context.Context, order ConfigChange) (Accepted, error) {
-	revision, err := c.owner.Change(ctx, config.Key, func(present register.Fields, version uint64) (register.Fields, error) {
+	key := order.Key
+	order.Key = idempotency.Key{}
+	return c.changeOnce(ctx, config.Key, "configuration", key, order, func(present register.Fields, version uint64) (register.Fields, error) {
 		fields, err := order.merge(present, version)
 		if err != nil {
 			return nil, err
@@ -45,8 +49,6 @@
 		}
 		return change, nil
 	})
-	c.logOutcome("configuration", config.Key, revision, err)
-	return Accepted{Version: revision.Version}, err
 }
 
 // merge gives the fields of the configuration that the order makes of the present one.
--- a/controlplane/operation.go
+++ b/controlplane/operation.go
@@ -42,25 +42,25 @@
 
 func newOperations(c *Core) operations {
 	return operations{
-		config:         operation[ConfigChange, Accepted]{core: c, name: config.Key, key: always[ConfigChange](config.Key), apply: c.applyConfig},
-		numberedConfig: operation[config.NumberedConfig, Accepted]{core: c, name: "declaration", key: always[config.NumberedConfig](config.Key), apply: c.applyNumberedConfig, idempotent: true},
-		accessKey:      operation[AccessKeyChange, Accepted]{core: c, name: "keys", key: AccessKeyChange.register, apply: c.applyAccessKey, idempotent: true},
-		replicas:       operation[ReplicasChange, Accepted]{core: c, name: "replicas", key: always[ReplicasChange](config.ReplicasKey), apply: c.applyReplicas, idempotent: true},
-		modelVersion:   operation[ModelVersionChange, Accepted]{core: c, name: "models", key: always[ModelVersionChange](config.ModelsKey), apply: c.applyModelVersion, idempotent: true},
-		loads:          operation[register.Fields, Accepted]{core: c, name: "loads", key: always[register.Fields](config.LoadsKey), apply: c.applyLoads, idempotent: true},
-		retirement:     operation[RetirementChange, Accepted]{core: c, name: "retirement", key: always[RetirementChange](config.RetirementKey), apply: c.applyRetirement},
-		retirementStep: operation[RetirementStep, Accepted]{core: c, name: "advance", key: always[RetirementStep](config.RetirementKey), apply: c.applyRetirementStep, idempotent: true},
-		claim:          operation[claim.Request, struct{}]{core: c, name: "claim", key: claim.Request.Register, apply: c.applyClaim, idempotent: true},
-		throttle:       operation[throttle.Notice, struct{}]{core: c, name: "hold", key: throttleRegister, apply: c.applyThrottle, idempotent: true},
-		lease:          operation[LeaseRequest, Accepted]{core: c, name: "term", key: LeaseRequest.register, apply: c.grantLease},
-		membership:     operation[membership.Change, Accepted]{core: c, name: "members", key: always[membership.Change](config.MembersKey), apply: c.applyMembershipChange},
-		commit:         operation[CommitRequest, CommitResponse]{core: c, name: "settle", key: func(r CommitRequest) string { return r.Key }, apply: c.commitKey, idempotent: true},
+		config:         operation[ConfigChange, Accepted]{core: c, name: config.Key, key: always[ConfigChange](config.Key), apply: c.applyConfig, idempotent: ConfigChange.IsNamed},
+		numberedConfig: operation[config.NumberedConfig, Accepted]{core: c, name: "declaration", key: always[config.NumberedConfig](config.Key), apply: c.applyNumberedConfig, idempotent: always[config.NumberedConfig](true)},
+		accessKey:      operation[AccessKeyChange, Accepted]{core: c, name: "keys", key: AccessKeyChange.Register, apply: c.applyAccessKey, idempotent: always[AccessKeyChange](true)},
+		replicas:       operation[ReplicasChange, Accepted]{core: c, name: "replicas", key: always[ReplicasChange](config.ReplicasKey), apply: c.applyReplicas, idempotent: always[ReplicasChange](true)},
+		modelVersion:   operation[ModelVersionChange, Accepted]{core: c, name: "models", key: always[ModelVersionChange](config.ModelsKey), apply: c.applyModelVersion, idempotent: always[ModelVersionChange](true)},
+		loads:          operation[register.Fields, Accepted]{core: c, name: "loads", key: always[register.Fields](config.LoadsKey), apply: c.applyLoads, idempotent: always[register.Fields](true)},
+		retirement:     operation[RetirementChange, Accepted]{core: c, name: "retirement", key: always[RetirementChange](config.RetirementKey), apply: c.applyRetirement, idempotent: RetirementChange.IsNamed},
+		retirementStep: operation[RetirementStep, Accepted]{core: c, name: "advance", key: always[RetirementStep](config.RetirementKey), apply: c.applyRetirementStep, idempotent: always[RetirementStep](true)},
+		claim:          operation[claim.Request, struct{}]{core: c, name: "claim", key: claim.Request.Register, apply: c.applyClaim, idempotent: always[claim.Request](true)},
+		throttle:       operation[throttle.Notice, struct{}]{core: c, name: "hold", key: throttleRegister, apply: c.applyThrottle, idempotent: always[throttle.Notice](true)},
+		lease:          operation[LeaseRequest, Accepted]{core: c, name: "term", key: LeaseRequest.register, apply: c.grantLease, idempotent: always[LeaseRequest](false)},
+		membership:     operation[membership.Change, Accepted]{core: c, name: "members", key: always[membership.Change](config.MembersKey), apply: c.applyMembershipChange, idempotent: membership.Change.IsIdempotent},
+		commit:         operation[CommitRequest, CommitResponse]{core: c, name: "settle", key: func(r CommitRequest) string { return r.Key }, apply: c.commitKey, idempotent: always[CommitRequest](true)},
 	}
 }
 
-// always is the key of an operation that has one register only.
-func always[Request any](key string) func(Request) string {
-	return func(Request) string { return key }
+// always gives the same for every request: the key of an operation that has one register only, for instance.
+func always[Request, Value any](value Value) func(Request) Value {
+	return func(Request) Value { return value }
 }
 
 // handle adds the endpoints of all operations.
@@ -88,8 +88,8 @@
 	key func(Request) string
 	// apply makes the change as the register's owner.
 	apply func(context.Context, Request) (Response, error)
-	// idempotent: a request that an owner may have applied can be applied again without harm.
-	idempotent bool
+	// idempotent reports whether a request that an owner may have applied can be applied again without harm.
+	idempotent func(Request) bool
 }
 
 // handle adds the endpoints: any core takes a request at /op/NAME and forwards it to the owner, which takes it at /own/NAME.
@@ -118,7 +118,7 @@
 		return response, err
 	case isDialError(err): // the owner cannot have got it
 		return o.apply(ctx, request)
-	case o.idempotent:
+	case o.idempotent(request):
 		return o.applyAgain(ctx, owner, request, err)
 	}
 	return none, apierror.New(apierror.Undecided, "the owner %s did not answer: %v", owner, err)
--- a/controlplane/retirement.go
+++ b/controlplane/retirement.go
@@ -9,6 +9,7 @@
 
 	"asterridge/apierror"
 	"asterridge/config"
+	"asterridge/idempotency"
 	"asterridge/protocol"
 	"asterridge/register"
 	"asterridge/router"
@@ -23,6 +24,7 @@
 
 // RetirementChange begins the retirement of a base model, or takes one back (docs/design.md §6.6).
 type RetirementChange struct {
+	idempotency.Key
 	Action string `json:"do"` // "retire" or "undo"
 	Old    string `json:"old,omitempty"`
 	New    string `json:"new,omitempty"`
@@ -33,7 +35,9 @@
 	if err != nil {
 		return Accepted{}, err
 	}
-	revision, err := c.owner.Change(ctx, config.RetirementKey, func(present register.Fields, version uint64) (register.Fields, error) {
+	key := order.Key
+	order.Key = idempotency.Key{}
+	return c.changeOnce(ctx, config.RetirementKey, "retirement", key, order, func(present register.Fields, version uint64) (register.Fields, error) {
 		all, _, err := config.ParseRetirements(present)
 		if err != nil {
 			return nil, err
@@ -46,8 +50,6 @@
 		}
 		return nil, apierror.New(apierror.OutOfRange, "%q is neither retire nor undo", order.Action)
 	})
-	c.logOutcome("retirement", config.RetirementKey, revision, err)
-	return Accepted{Version: revision.Version}, err
 }
 
 // begin gives the change that begins a retirement; no change if it was asked for before, perhaps without an answer.
