A core that ends in order releases its singleton roles

Cause: the roles of a core that ends in order passed on only when their leases ran out, after 2 or 3 s (docs/control.md §3, not covered). A grant whose answer was lost was waited out by its own holder. Change: lease.Candidate.Release writes a grant without a holder, which the next candidate takes at once; Leave does it before it leaves the list. A grant that stands in this run's own name is taken up at once. Replicas that check no fences are left alone for a lease as before.

--- a/cmd/core/main.go
+++ b/cmd/core/main.go
@@ -20,7 +20,7 @@
 		if err != nil {
 			return err
 		}
-		core, err := controlplane.New(s.Host, folder, controlplane.Options{ClaimRetention: time.Duration(*age) * time.Second})
+		core, err := controlplane.New(s.Host, folder, controlplane.Options{ClaimRetention: time.Duration(*age) * time.Second, LeaveTimeout: controlplane.MaxLeaveTimeout})
 		if err != nil {
 			return err
 		}
@@ -28,6 +28,6 @@
 		if err != nil {
 			return err
 		}
-		return core.Serve(ctx, listener)
+		return core.ServeUntilStopped(ctx, listener)
 	})
 }
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -16,6 +16,7 @@
 	"asterridge/disk"
 	"asterridge/gossip"
 	"asterridge/inflight"
+	"asterridge/lease"
 	"asterridge/membership"
 	"asterridge/protocol"
 	"asterridge/register"
@@ -122,6 +123,8 @@
 	liveness membership.Tracker
 	// membershipChanged is closed, and replaced, when another list counts.
 	membershipChanged chan struct{}
+	// candidates are those of this core for the singleton roles.
+	candidates []*lease.Candidate
 	// proxies are those that run, as agents were told.
 	proxies register.Fields
 }
@@ -254,10 +257,10 @@
 	mux.Handle("POST /core/hello", rpc.Handler(fleet, c.handleHello))
 	mux.Handle("POST /core/pull", rpc.Handler(fleet, c.agentUpdates.Watch))
 	mux.Handle("POST /core/whole", rpc.Handler(fleet, c.peerUpdates.Watch))
+	mux.Handle("POST /core/silence", rpc.Handler(fleet, c.handleSilence))
 	mux.Handle("POST /core/hold", rpc.Handler(fleet, c.handleThrottle))
 	mux.Handle("POST /core/place", rpc.Handler(fleet, c.handlePlacement))
 	mux.Handle("POST /register/promise", rpc.Handler(fleet, c.handlePrepare))
-	mux.Handle("POST /core/silence", rpc.Handler(fleet, c.handleSilence))
 	mux.Handle("POST /register/confirm", rpc.Handler(fleet, c.handleConfirm))
 	mux.Handle("POST /register/accept", rpc.Handler(fleet, c.handleAccept))
 	mux.Handle("POST /register/settle", rpc.Handler(fleet, c.handleCommit))
--- a/controlplane/leases.go
+++ b/controlplane/leases.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"asterridge/lease"
@@ -63,7 +65,7 @@
 
 // newCandidate makes this core a candidate for a role. Its name as a holder is unique to this run of the process.
 func (c *Core) newCandidate(role string, length time.Duration) *lease.Candidate {
-	return lease.New(lease.Options{
+	candidate := lease.New(lease.Options{
 		Role:   role,
 		Holder: c.host.Name + "." + c.incarnation + "." + c.peerUpdates.RunID(),
 		Length: length,
@@ -71,6 +73,22 @@
 		Store:  leaseStore{core: c},
 		Log:    c.host.Log,
 	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.candidates = append(c.candidates, candidate)
+	return candidate
+}
+
+// releaseRoles gives up the singleton roles that this core holds, for good: it is about to end.
+func (c *Core) releaseRoles(ctx context.Context) {
+	c.mu.Lock()
+	candidates := slices.Clone(c.candidates)
+	c.mu.Unlock()
+	var releasing sync.WaitGroup
+	for _, candidate := range candidates {
+		releasing.Go(func() { candidate.Release(ctx) })
+	}
+	releasing.Wait()
 }
 
 // runRoles performs the singleton roles that need no platform, as far as this core holds them, until the context ends.
--- a/controlplane/leave.go
+++ b/controlplane/leave.go
@@ -34,10 +34,12 @@
 	return c.Serve(serving, listener)
 }
 
-// Leave takes this core off the list of members and waits until every key is on a majority of those that are left. It fails with
+// Leave releases the singleton roles, takes this core off the list of members and waits until every key is on a majority of those that are
+// left. It fails with
 // apierror.OutOfRange if the rest bears losses less well without this core than with a member that is unresponsive for a while, and with
 // apierror.Undecided if the context ends first; the core may be a member still.
 func (c *Core) Leave(ctx context.Context) error {
+	c.releaseRoles(ctx)
 	if !c.options.AutoMembership {
 		return apierror.New(apierror.OutOfRange, "operators change the members here")
 	}
--- a/controlplane/model_loader.go
+++ b/controlplane/model_loader.go
@@ -115,11 +115,13 @@
 	l.core.logOutcome("load reservations", config.LoadsKey, l.core.acceptor.Revision(config.LoadsKey), err)
 }
 
-// campaign renews the lease, or asks for it if the register of leases is assigned to this core.
+// campaign renews the lease, or asks for it if the register of leases is assigned to this core, or if its holder has released it: it may be the
+// one that the register is assigned to, and about to end.
 func (l *modelLoader) campaign(ctx context.Context) (fence uint64, held bool) {
 	fence, held = l.candidate.Held()
 	due := time.Since(l.lastCampaign) > loadLease/campaignsPerLease
-	if !due || !held && rendezvous.Pick(leasePrefix+loadingRole, l.core.live()) != l.core.host.Name {
+	assigned := rendezvous.Pick(leasePrefix+loadingRole, l.core.live()) == l.core.host.Name
+	if !due || !held && !assigned && !l.candidate.Released() {
 		return fence, held
 	}
 	before := held
--- a/lease/grant.go
+++ b/lease/grant.go
@@ -16,6 +16,12 @@
 	Version uint64 `json:"version"`
 }
 
+// IsFree reports whether nobody holds the role: it was never taken, or its holder released it.
+func (g Grant) IsFree() bool { return g.Version == 0 || g.IsReleased() }
+
+// IsReleased reports whether the role's last holder released it.
+func (g Grant) IsReleased() bool { return g.Version != 0 && g.Holder == "" }
+
 // Fields of a role's register.
 const (
 	holderField = "holder"
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -46,6 +46,8 @@
 	// observed is the grant that stands here, observedSince since when it has stood unchanged.
 	observed      Grant
 	observedSince time.Time
+	// released is set for good once this candidate has given the role up.
+	released bool
 	// previousEnd is when the lease of the holder before us was over at the latest; zero if there was none.
 	previousEnd time.Time
 }
@@ -90,8 +92,25 @@
 	}
 }
 
-// Campaign renews our lease, or takes one whose grant has stood unchanged for a whole lease on our clock. It is to be called a few times a
-// lease. A failure leaves what we hold until its end.
+// Released reports whether the role's last holder has released it, as far as is known here.
+func (c *Candidate) Released() bool { return c.options.Store.Read(c.options.Role).IsReleased() }
+
+// Release gives our lease up ahead of its end, so that the next candidate need not wait for it, and ends our candidacy. Nothing is done under
+// the lease from the call on. If the release cannot be written, the others wait for the lease's end as ever.
+func (c *Candidate) Release(ctx context.Context) {
+	c.mu.Lock()
+	granted, held := c.granted, c.holds(time.Now())
+	c.expires, c.released = time.Time{}, true
+	c.mu.Unlock()
+	if !held {
+		return
+	}
+	_, err := c.options.Store.Acquire(ctx, c.options.Role, Grant{Nonce: rand.Text()}, granted)
+	c.options.Log.Info().Str("role", c.options.Role).Uint64("fence", granted.Version).Err(err).Msg("lease released")
+}
+
+// Campaign renews our lease, or takes one that was released, or whose grant has stood unchanged for a whole lease on our clock. It is to be
+// called a few times a lease. A failure leaves what we hold until its end.
 func (c *Candidate) Campaign(ctx context.Context) {
 	o := c.options
 	current := o.Store.Read(o.Role)
@@ -110,10 +129,11 @@
 	grant.Version = version
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !renewing && current.Version != 0 && current.Holder != o.Holder {
-		c.previousEnd = c.observedSince.Add(o.Length)
+	c.granted = grant
+	if c.released {
+		return // meanwhile: nobody counts on us, and the others wait for the lease's end
 	}
-	c.granted, c.expires = grant, began.Add(o.Length-o.Margin)
+	c.expires = began.Add(o.Length - o.Margin)
 	if !renewing {
 		o.Log.Info().Str("role", o.Role).Uint64("fence", version).Msg("lease acquired")
 	}
@@ -123,10 +143,19 @@
 func (c *Candidate) expectedGrant(current Grant, now time.Time) (expected Grant, renewing, due bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.released {
+		return Grant{}, false, false
+	}
 	if !c.holds(now) {
 		c.observe(current, now)
+		if current.Holder == c.options.Holder { // ours, whose answer was lost or that has ended: nobody else had it since
+			return current, false, true
+		}
 		// The holder counts from before it asked, we count from after its grant showed here: our wait ends later than its lease.
-		due = current.Version == 0 || now.Sub(c.observedSince) >= c.options.Length
+		due = current.IsFree() || now.Sub(c.observedSince) >= c.options.Length
+		if due && current.Version != 0 {
+			c.previousEnd = c.observedSince.Add(c.options.Length)
+		}
 		return current, false, due
 	}
 	if current.Holder != c.options.Holder && current.Version > c.granted.Version {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -125,3 +125,48 @@
 		is.NoErr(err)
 	})
 }
+
+// A lease that was released is taken at the next campaign of another candidate, the one that released it never has it again, and one whose
+// release could not be written is waited out.
+func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
+	for _, cutOff := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var mu sync.Mutex
+			var present Grant
+			const length = 2 * time.Second
+			cuts := make([]bool, 2)
+			var candidates []*Candidate
+			for i := range 2 {
+				candidates = append(candidates, New(Options{Role: "d", Holder: string(rune('a' + i)), Length: length, Margin: length / 8,
+					Store: &store{mu: &mu, present: &present, isCut: &cuts[i]}, Log: zerolog.Nop()}))
+			}
+			candidates[0].Campaign(t.Context())
+			fence, held := candidates[0].Held()
+			is.True(held)
+			candidates[1].Campaign(t.Context())
+			cuts[0] = cutOff
+			candidates[0].Release(t.Context())
+			_, held = candidates[0].Held()
+			is.True(!held)
+			candidates[1].Campaign(t.Context())
+			later, held := candidates[1].Held()
+			is.Equal(held, !cutOff)
+			if cutOff {
+				time.Sleep(length)
+				candidates[1].Campaign(t.Context())
+				later, held = candidates[1].Held()
+				is.True(held)
+			}
+			is.True(later > fence)
+			if !cutOff { // replicas that check no fences are left alone for a lease all the same
+				is.True(candidates[1].PreviousLeaseEnd().Sub(time.Now()) > length/2)
+			}
+			cuts[0] = false
+			time.Sleep(2 * length)
+			candidates[0].Campaign(t.Context())
+			_, held = candidates[0].Held()
+			is.True(!held)
+		})
+	}
+}
--- a/sim/loading_test.go
+++ b/sim/loading_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -135,6 +138,36 @@
 	})
 }
 
+// The holder ends in order in the midst: before it ends it gives the role up, and another core has it within a second, not after the two of a
+// lease. Every version is loaded, and no replica gets orders of two holders within a lease.
+func TestRoleOfAStoppedCoreIsHandedOver(t *testing.T) {
+	t.Parallel()
+	b := newBackends()
+	b.add("pool", 15, "m")
+	rollout(t, 225, b, pools(1, oneModel), func(is *is.I, f *Fleet, _ *watch.Client) {
+		f.nameVersion(0, "m", 2)
+		f.Until(20*time.Second, "some are ordered", func() bool { return len(b.given()) >= 4 })
+		first := b.given()[0].core
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		watcher := f.follow(ctx, At(CoreIP((first+1)%3)), "/core/whole")
+		holder := func() (name string) {
+			_ = json.Unmarshal(watcher.Read("term/loading").Fields["holder"], &name) // not followed yet: nobody
+			return name
+		}
+		f.Until(time.Second, "the holder is known", func() bool { return strings.HasPrefix(holder(), fmt.Sprint("core-", first+1)) })
+		stopped := time.Now()
+		f.Terminate(first)
+		f.Until(time.Minute, "another one holds the role", func() bool {
+			return holder() != "" && !strings.HasPrefix(holder(), fmt.Sprint("core-", first+1))
+		})
+		t.Logf("another one holds the role after %v", time.Since(stopped))
+		is.True(time.Since(stopped) < time.Second)
+		f.Until(time.Minute, "all have it", func() bool { return b.has("m", 2) })
+		checkOrders(is, b, loadLease)
+	})
+}
+
 // checkOrders looks at all orders: fences rise with the holders, and no replica gets orders of two holders within a lease of each other. It
 // held the lease between any two orders of two holders before; the rule it is there for binds one replica's orders.
 func checkOrders(is *is.I, b *backends, lease time.Duration) {
