An owner that hears no majority is passed over for one that does

Cause: an owner that some cores hear and that hears no majority answered 301 or 302 to all that those cores passed on (docs/control.md §1, not covered).

--- a/controlplane/operation.go
+++ b/controlplane/operation.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"asterridge/apierror"
@@ -95,11 +96,20 @@
 // handle adds the endpoints: any core takes a request at /op/NAME and forwards it to the owner, which takes it at /own/NAME.
 func (o operation[Request, Response]) handle(mux *http.ServeMux) {
 	mux.Handle("POST /op/"+o.name, rpc.Handler(o.core.host.Fleet, o.submit))
-	mux.Handle("POST /own/"+o.name, rpc.Handler(o.core.host.Fleet, o.apply))
+	mux.Handle("POST /own/"+o.name, rpc.Handler(o.core.host.Fleet, o.applyWithQuorum))
 }
 
-// submit has the register's owner apply a request. If the owner does not answer, this core applies it itself, unless the owner may have
-// applied it and doing so twice would do harm: then the answer is apierror.Undecided, neither yes nor no.
+// applyWithQuorum applies a request that another core has forwarded. A core that hears no majority does not try: the other one may hear it.
+func (o operation[Request, Response]) applyWithQuorum(ctx context.Context, request Request) (Response, error) {
+	if !o.core.hasQuorum() {
+		var none Response
+		return none, apierror.New(apierror.NoMajority, "%s hears no majority of the members", o.core.host.Name)
+	}
+	return o.apply(ctx, request)
+}
+
+// submit has the register's owner apply a request. An owner that hears no majority is passed over for the next one that this core hears, for
+// as long as protocol.QuorumTimeout; then this core tries itself, since what it hears may lag behind what it reaches.
 func (o operation[Request, Response]) submit(ctx context.Context, request Request) (Response, error) {
 	var none Response
 	c := o.core
@@ -108,9 +118,24 @@
 	} else if now.self == nil {
 		return none, apierror.New(apierror.NoMember, "%s is no member", c.host.Name)
 	}
-	owner := rendezvous.Pick(o.key(request), c.live())
-	if owner == c.host.Name {
-		return o.apply(ctx, request)
+	candidates := c.live()
+	for began := time.Now(); len(candidates) > 0 && time.Since(began) < protocol.QuorumTimeout; {
+		owner := rendezvous.Pick(o.key(request), candidates)
+		response, err := o.submitTo(ctx, owner, request)
+		if !apierror.Is(err, apierror.NoMajority) {
+			return response, err
+		}
+		candidates = slices.DeleteFunc(candidates, func(name string) bool { return name == owner })
+	}
+	return o.apply(ctx, request)
+}
+
+// submitTo has one core apply a request as the register's owner. If that core does not answer, this one applies it itself, unless the other
+// may have applied it and doing so twice would do harm: then the answer is apierror.Undecided, neither yes nor no.
+func (o operation[Request, Response]) submitTo(ctx context.Context, owner string, request Request) (Response, error) {
+	var none Response
+	if owner == o.core.host.Name {
+		return o.applyWithQuorum(ctx, request)
 	}
 	response, err := o.forward(ctx, owner, request)
 	switch {
