Reservations of the loading role bear the holder's lease, checked by the register's owner

Cause: a mark of loading was checked against the holder's lease before it was sent, not by the owner: one that was on its way for longer than a lease was not fenced (docs/control.md §1, not covered). Changes without a holder, from an earlier build, are taken as before.

--- a/config/adapter.go
+++ b/config/adapter.go
@@ -78,35 +78,48 @@
 // Retirements are all that there ever were, by the old base.
 type Retirements map[string]Retirement
 
-// RoleHolder is who last took up the retirements, and under which lease: steps of older leases are rejected.
+// RoleHolder is who last wrote to the register of a singleton role, and under which lease: what older leases write late is rejected.
 type RoleHolder struct {
 	Holder string `json:"holder"`
 	Lease  uint64 `json:"term"`
 }
 
-// RoleHolderField is the register's field of the RoleHolder; all others are retirements.
+// RoleHolderField is the field of the RoleHolder in the registers of retirements and loads.
 const RoleHolderField = "~duty"
 
+// ParseRoleHolder reads the RoleHolder among a register's fields, or of a change of them; the zero one if there is none.
+func ParseRoleHolder(fields register.Fields) (holder RoleHolder, err error) {
+	if raw := fields[RoleHolderField]; raw != nil {
+		err = json.Unmarshal(raw, &holder)
+	}
+	return holder, apierror.Wrap(err, apierror.Malformed, "register field "+RoleHolderField)
+}
+
+// splitHolder takes the RoleHolder out of a register's fields.
+func splitHolder(fields register.Fields) (rest register.Fields, holder RoleHolder, err error) {
+	rest = fields.Clone()
+	delete(rest, RoleHolderField)
+	holder, err = ParseRoleHolder(fields)
+	return rest, holder, err
+}
+
+// Check rejects what comes under a lease below the one that has written last. The error is apierror.Superseded.
+func (h RoleHolder) Check(writer RoleHolder) error {
+	if writer.Lease >= h.Lease {
+		return nil
+	}
+	return apierror.New(apierror.Superseded, "lease %d of %s has taken this up, yours is %d", h.Lease, h.Holder, writer.Lease)
+}
+
 // ParseRetirements reads the register's content.
 func ParseRetirements(fields register.Fields) (Retirements, RoleHolder, error) {
-	fields = maps.Clone(fields)
-	holder, err := Load[RoleHolder](register.Fields{RoleHolderField: orNull(fields[RoleHolderField])})
+	rest, holder, err := splitHolder(fields)
 	if err != nil {
 		return nil, RoleHolder{}, err
 	}
-	maps.DeleteFunc(fields, func(field string, _ json.RawMessage) bool {
-		return field == RoleHolderField || idempotency.IsField(field)
-	})
-	all, err := Load[Retirement](fields)
-	return all, holder[RoleHolderField], err
-}
-
-// orNull gives null in the place of nothing.
-func orNull(raw []byte) []byte {
-	if raw == nil {
-		return []byte("null")
-	}
-	return raw
+	maps.DeleteFunc(rest, func(field string, _ json.RawMessage) bool { return idempotency.IsField(field) })
+	all, err := Load[Retirement](rest)
+	return all, holder, err
 }
 
 // Route gives the base and the build that an adapter's requests go to now.
--- a/config/registers.go
+++ b/config/registers.go
@@ -50,6 +50,16 @@
 	Done    bool   `json:"done,omitempty"`
 }
 
+// ParseLoads reads the register of loads: the last order of each replica, and who wrote last under which lease.
+func ParseLoads(fields register.Fields) (map[string]LoadOrder, RoleHolder, error) {
+	rest, holder, err := splitHolder(fields)
+	if err != nil {
+		return nil, RoleHolder{}, err
+	}
+	orders, err := Load[LoadOrder](rest)
+	return orders, holder, err
+}
+
 // Access is what is stored of an access key, under its hash.
 type Access struct {
 	Revoked       bool   `json:"revoked"`
--- a/controlplane/model_loader.go
+++ b/controlplane/model_loader.go
@@ -109,6 +109,7 @@
 	if now, held := l.candidate.Held(); len(change) == 0 || !held || now < fence {
 		return // another holder may have written reservations meanwhile: frozen since, this one writes nothing
 	}
+	change.Apply(config.Field(config.RoleHolderField, config.RoleHolder{Holder: l.candidate.Holder(), Lease: fence}))
 	ctx, cancel := context.WithTimeout(ctx, protocol.QuorumTimeout)
 	defer cancel()
 	_, err := l.core.operations.loads.submit(ctx, change)
@@ -258,7 +259,7 @@
 	plan, err := config.FromFields(withoutTexts(acceptor.Read(config.Key).Fields))
 	models, modelsErr := config.Load[config.Model](acceptor.Read(config.ModelsKey).Fields)
 	replicas, replicasErr := config.Load[config.Replica](acceptor.Read(config.ReplicasKey).Fields)
-	orders, ordersErr := config.Load[config.LoadOrder](acceptor.Read(config.LoadsKey).Fields)
+	orders, _, ordersErr := config.ParseLoads(acceptor.Read(config.LoadsKey).Fields)
 	if err != nil || modelsErr != nil || replicasErr != nil || ordersErr != nil {
 		return nil, nil // a register that cannot be read: nothing is done on a guess
 	}
@@ -311,8 +312,22 @@
 	return pendingLoad{}, false
 }
 
-// applyLoads writes the loader's reservations.
+// applyLoads writes the loader's reservations. What a former holder sent, and what arrives after a later one has written, is rejected. A
+// change without a holder is from an earlier build.
 func (c *Core) applyLoads(ctx context.Context, change register.Fields) (Accepted, error) {
-	revision, err := c.owner.Change(ctx, config.LoadsKey, func(register.Fields, uint64) (register.Fields, error) { return change, nil })
+	writer, err := config.ParseRoleHolder(change)
+	if err != nil {
+		return Accepted{}, err
+	}
+	revision, err := c.owner.Change(ctx, config.LoadsKey, func(present register.Fields, _ uint64) (register.Fields, error) {
+		holder, err := config.ParseRoleHolder(present)
+		if err == nil && change[config.RoleHolderField] != nil {
+			err = holder.Check(writer)
+		}
+		if err != nil {
+			return nil, err
+		}
+		return change, nil
+	})
 	return Accepted{Version: revision.Version}, err
 }
--- a/controlplane/retirement.go
+++ b/controlplane/retirement.go
@@ -150,12 +150,13 @@
 func (c *Core) applyRetirementStep(ctx context.Context, step RetirementStep) (Accepted, error) {
 	revision, err := c.owner.Change(ctx, config.RetirementKey, func(present register.Fields, version uint64) (register.Fields, error) {
 		all, holder, err := config.ParseRetirements(present)
-		switch {
-		case err != nil:
+		if err == nil {
+			err = holder.Check(step.Holder)
+		}
+		if err != nil {
 			return nil, err
-		case step.Holder.Lease < holder.Lease:
-			return nil, apierror.New(apierror.Superseded, "lease %d of %s has taken this up, yours is %d", holder.Lease, holder.Holder, step.Holder.Lease)
-		case step.ExpectedVersion != version:
+		}
+		if step.ExpectedVersion != version {
 			return nil, apierror.New(apierror.Conflict, "expected version %d, present is %d", step.ExpectedVersion, version)
 		}
 		change := config.Field(config.RoleHolderField, step.Holder)
--- a/router/compile.go
+++ b/router/compile.go
@@ -197,7 +197,7 @@
 		return err
 	}
 	_, reserved := c.read(config.LoadsKey)
-	orders, err := config.Load[config.LoadOrder](reserved)
+	orders, _, err := config.ParseLoads(reserved)
 	if err != nil {
 		return err
 	}
--- a/sim/backend_test.go
+++ b/sim/backend_test.go
@@ -305,7 +305,7 @@
 
 // reservations reads the open reservations of replicas that are to load.
 func reservations(f *watch.Client) map[string]config.LoadOrder {
-	all, _ := config.Load[config.LoadOrder](f.Read(config.LoadsKey).Fields) // none that cannot be read
+	all, _, _ := config.ParseLoads(f.Read(config.LoadsKey).Fields) // none that cannot be read
 	maps.DeleteFunc(all, func(_ string, o config.LoadOrder) bool { return o.Done })
 	return all
 }
--- a/sim/cutoff_test.go
+++ b/sim/cutoff_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -225,3 +226,30 @@
 		f.Until(10*time.Second, "it is forgotten in the end", func() bool { return claim("three", "running") == nil })
 	})
 }
+
+// What a former holder of the loading role sent arrives at the register's owner when the next holder has written there: it is refused, whatever
+// held it up, and nothing of it stands.
+func TestReservationsOfAFormerHolderThatArriveLateAreRefused(t *testing.T) {
+	t.Parallel()
+	inNumbered(t, numberedOptions(545, 4), func(is *is.I, f *Fleet) {
+		f.untilMembership(10*time.Second, allFour)
+		write := func(core int, lease, version uint64) error {
+			change := config.Field("pool-1", config.LoadOrder{Model: "m", Version: version, Done: true})
+			change.Apply(config.Field(config.RoleHolderField, config.RoleHolder{Holder: fmt.Sprint("core-", core), Lease: lease}))
+			_, err := f.Order(core, "loads", change)
+			return err
+		}
+		is.NoErr(write(0, 5, 2))
+		is.NoErr(write(1, 9, 3))
+		for core := range 4 {
+			is.True(apierror.Is(write(core, 5, 2), apierror.Superseded))
+		}
+		is.NoErr(write(2, 9, 4)) // the present holder again
+		answer, err := f.Query(2, "fields")
+		is.NoErr(err)
+		is.True(slices.ContainsFunc(answer.Rows, func(row router.Row) bool {
+			value, ok := row["value"].(map[string]any)
+			return ok && row["field"] == "pool-1" && value["version"] == 4.0
+		}))
+	})
+}
--- a/sim/listing_test.go
+++ b/sim/listing_test.go
@@ -195,7 +195,7 @@
 		watcher := f.follow(ctx, At(CoreIP((holder+1)%4)), "/core/pull")
 		highest, back := map[string]uint64{}, false
 		stop := poll(func() {
-			all, _ := config.Load[config.LoadOrder](watcher.Read(config.LoadsKey).Fields)
+			all, _, _ := config.ParseLoads(watcher.Read(config.LoadsKey).Fields)
 			for name, o := range all {
 				back = back || o.Version < highest[name]
 				highest[name] = max(highest[name], o.Version)
