The end of an old version outlasts a restart of all cores; times of versions are pruned

Cause: after a restart of all cores and agents an old version whose time was over could be used anew, and the times of named versions grew with their number at cores, agents and proxies (docs/control.md, roles and §4, not covered). Change: the core that the register 'superseded' is drawn to writes, once for each version, which version's predecessors have ended; a core that starts tells agents so. Of each model the 32 newest versions are remembered; what is forgotten is over. A version whose time was not over counts from the first core's new start, as before.

--- a/config/registers.go
+++ b/config/registers.go
@@ -15,7 +15,9 @@
 	MembersKey  = "members"
 	KeysPrefix  = "keys/"
 	ModelsKey   = "models" // model → the version that operators have named
-	LoadsKey    = "loads"  // replica → its last order to load (§6.2)
+	// SupersededKey has, by model, the version below which none may be used any more.
+	SupersededKey = "superseded"
+	LoadsKey      = "loads" // replica → its last order to load (§6.2)
 )
 
 // The states of a replica, as the platform's updates and the register of replicas spell them.
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -49,6 +49,8 @@
 	Backend Backend
 	// Lease is the least time between the last order of one holder of a singleton role and the first of the next.
 	Lease time.Duration
+	// OldVersionLimit is how long a version of a model may be used after the next one was published; 0: no end is recorded.
+	OldVersionLimit time.Duration
 	// WatchWait is how long a watch request of another core is held open; 0: protocol.DefaultWatchWait.
 	WatchWait time.Duration
 	// Throttle is the waiting rule of a fleet with numbered configurations that do not set it; nil: the rule of an empty configuration.
@@ -96,8 +98,10 @@
 	transferMu  sync.Mutex
 	transferred transferProgress
 	// reconcileMu is held while this core changes the members, refreshMu while it asks them for a newer list.
-	reconcileMu sync.Mutex
-	refreshMu   sync.Mutex
+	// supersededMu while this core records which versions of models have ended.
+	reconcileMu  sync.Mutex
+	refreshMu    sync.Mutex
+	supersededMu sync.Mutex
 	// recordingSlot admits one goroutine at a time to writing down who is unresponsive. It is no mutex: the disk may stall for long.
 	recordingSlot chan struct{}
 	// wakeups holds a token if a tick is wanted at once.
@@ -105,11 +109,13 @@
 
 	// loggedFailures are the keys whose catching up has failed, as the log has it.
 	loggedFailures sync.Map
-	// announcedVersions are the versions of models that agents were told of.
-	announcedVersions sync.Map
 	// claimsSeen is when this process first saw each claim; only pruneClaims uses it.
 	claimsSeen map[string]time.Time
 
+	// versionsMu guards announcedVersions: by model, the versions that agents were told of, the newest last. It is held under a register's lock.
+	versionsMu        sync.Mutex
+	announcedVersions map[string][]announcedVersion
+
 	mu sync.Mutex // guards what follows
 	// peers are the watches of the other members, by name.
 	peers map[string]*watch.Client
@@ -146,6 +152,7 @@
 		bootstrapContacts: map[string]string{},
 		uncommittedSince:  map[string]time.Time{},
 		joiners:           map[string]membership.Joiner{},
+		announcedVersions: map[string][]announcedVersion{},
 		liveness:          membership.Tracker{MaxStep: 2 * tickInterval},
 		membershipChanged: make(chan struct{}),
 	}
--- a/controlplane/publish.go
+++ b/controlplane/publish.go
@@ -41,26 +41,6 @@
 	return rest
 }
 
-// publishModelVersions tells agents when a version of a model came to this disk, or when this process began that found it there. Agents go
-// by the oldest age that any core tells, so a core that has restarted adds nothing. If all cores have restarted, the time for which old
-// versions may be used counts from the first start among them (docs/design.md §6.5).
-func (c *Core) publishModelVersions(change register.Fields) {
-	models, err := config.Load[config.Model](change)
-	if err != nil {
-		return
-	}
-	fields := register.Fields{}
-	for name, model := range models {
-		field := router.ModelVersionField(name, model.Version)
-		if _, announced := c.announcedVersions.LoadOrStore(field, true); !announced {
-			fields[field] = json.RawMessage("0")
-		}
-	}
-	if len(fields) > 0 {
-		c.agentUpdates.PublishHint(router.ModelVersionsKey, fields, false)
-	}
-}
-
 // publishThrottle passes a throttle on to peers and agents.
 func (c *Core) publishThrottle(e throttle.Entry) {
 	raw, _ := json.Marshal(e.Notice) // a plain struct always encodes
--- a/controlplane/tick.go
+++ b/controlplane/tick.go
@@ -70,6 +70,7 @@
 	if c.options.AutoMembership {
 		c.reconcileMembership(ctx)
 	}
+	c.recordSuperseded(ctx)
 	c.publishProxies()
 	c.throttles.Prune()
 }
--- a/deployment/bounds.go
+++ b/deployment/bounds.go
@@ -75,6 +75,11 @@
 	return max(protocol.FreshLimit, min(b.KeyRevocation-staleMargin, maxStale))
 }
 
+// oldVersionLimit is how long a version of a model may be used after the next one was published.
+func (b Bounds) oldVersionLimit() time.Duration {
+	return max(b.ModelVersion/2, b.ModelVersion-modelVersionMargin)
+}
+
 // Agent gives an agent's options.
 func (b Bounds) Agent() agent.Options {
 	return agent.Options{
@@ -91,7 +96,7 @@
 	return proxy.Options{
 		Grace:           b.Grace - b.Grace/proxyStopDivisor,
 		ReadinessLinger: min(readinessLinger, b.Grace/3),
-		OldWeightsLimit: max(b.ModelVersion/2, b.ModelVersion-modelVersionMargin),
+		OldWeightsLimit: b.oldVersionLimit(),
 		RetryRatio:      b.RetryRatio,
 		RetrySlack:      b.RetrySlack,
 		AgentWatchWait:  watchWait,
@@ -103,12 +108,13 @@
 // Core gives a core's options.
 func (b Bounds) Core() controlplane.Options {
 	return controlplane.Options{
-		ClaimRetention: claimRetention,
-		AutoMembership: true,
-		Lease:          b.Lease,
-		WatchWait:      coreWatchWait,
-		Tolerance:      b.Tolerance,
-		LeaveTimeout:   min(controlplane.MaxLeaveTimeout, b.Grace/2),
-		CloseTimeout:   min(daemon.CloseTimeout, b.Grace/coreCloseDivisor),
+		ClaimRetention:  claimRetention,
+		AutoMembership:  true,
+		Lease:           b.Lease,
+		OldVersionLimit: b.oldVersionLimit(),
+		WatchWait:       coreWatchWait,
+		Tolerance:       b.Tolerance,
+		LeaveTimeout:    min(controlplane.MaxLeaveTimeout, b.Grace/2),
+		CloseTimeout:    min(daemon.CloseTimeout, b.Grace/coreCloseDivisor),
 	}
 }
--- a/router/model_test.go
+++ b/router/model_test.go
@@ -118,3 +118,21 @@
 	}
 	return "no"
 }
+
+// Hundreds of versions leave a bounded memory behind. What is forgotten is older than all that may be used: its time is over.
+func TestTimesOfVersionsAreForgottenFromTheOldestOn(t *testing.T) {
+	is := is.New(t)
+	var named ModelVersions
+	const newest = 500
+	for version := uint64(2); version <= newest; version++ {
+		named.Apply(register.Fields{ModelVersionField("m", version): []byte("0")}, nil)
+	}
+	is.Equal(len(named.of("m").since), MaxModelVersions)
+	for version := uint64(1); version < newest; version++ {
+		_, known := named.Superseded("m", version)
+		is.Equal(known, version >= newest-MaxModelVersions)
+	}
+	_, known := named.Superseded("m", newest)
+	is.True(!known)
+	is.Equal(len(named.Apply(register.Fields{ModelVersionField("m", 3): []byte("90000")}, nil)), 0) // late word of a forgotten one
+}
--- a/router/model_versions.go
+++ b/router/model_versions.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,10 +21,30 @@
 	return model + "/" + strconv.FormatUint(version, 10)
 }
 
+// MaxModelVersions is how many versions of a model are remembered, the newest.
+const MaxModelVersions = 32
+
 // ModelVersions remembers since when versions are published; of several ages the oldest counts. The zero value is ready to use.
 type ModelVersions struct {
-	mu    sync.Mutex
-	since map[string]map[uint64]time.Time
+	mu     sync.Mutex
+	models map[string]*publishedVersions
+}
+
+// publishedVersions are those of one model.
+type publishedVersions struct {
+	since map[uint64]time.Time
+	// forgotten is the newest version that is remembered no more: the time of those below it is over.
+	forgotten uint64
+}
+
+// add remembers a version, and forgets the oldest one beyond MaxModelVersions.
+func (p *publishedVersions) add(version uint64, since time.Time) {
+	p.since[version] = since
+	if len(p.since) > MaxModelVersions {
+		oldest := slices.Min(slices.Collect(maps.Keys(p.since)))
+		delete(p.since, oldest)
+		p.forgotten = oldest
+	}
 }
 
 // Apply takes a watch update, and gives the fields whose time moved, with what is known of them now.
@@ -42,36 +64,47 @@
 		}
 		ms += agesMs[field]
 		since := time.Now().Add(-time.Duration(ms) * time.Millisecond)
-		versions := n.since[field[:at]]
-		if versions == nil {
-			versions = map[uint64]time.Time{}
-			if n.since == nil {
-				n.since = map[string]map[uint64]time.Time{}
-			}
-			n.since[field[:at]] = versions
-		}
-		if known, ok := versions[version]; !ok || since.Add(versionAgeSlack).Before(known) {
-			versions[version] = since
+		published := n.of(field[:at])
+		known, ok := published.since[version]
+		if version > published.forgotten && (!ok || since.Add(versionAgeSlack).Before(known)) {
+			published.add(version, since)
 			moved[field] = json.RawMessage(strconv.FormatInt(ms, 10))
 		}
 	}
 	return moved
 }
 
+// of gives a model's versions; n.mu is held.
+func (n *ModelVersions) of(model string) *publishedVersions {
+	if n.models == nil {
+		n.models = map[string]*publishedVersions{}
+	}
+	published := n.models[model]
+	if published == nil {
+		published = &publishedVersions{since: map[uint64]time.Time{}}
+		n.models[model] = published
+	}
+	return published
+}
+
 // versionAgeSlack is how much older an age must be to move a time: updates take a little longer or shorter each time.
 const versionAgeSlack = 100 * time.Millisecond
 
-// Superseded gives since when there is a newer version of a model than this one; not ok if none is known.
+// Superseded gives since when there is a newer version of a model than this one; not ok if that is not known, or not any more.
 func (n *ModelVersions) Superseded(model string, version uint64) (since time.Time, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	published := n.of(model)
+	if version < published.forgotten {
+		return time.Time{}, false
+	}
 	next := uint64(0)
-	for named := range n.since[model] {
+	for named := range published.since {
 		if named > version && (next == 0 || named < next) {
 			next = named
 		}
 	}
-	return n.since[model][next], next > 0
+	return published.since[next], next > 0
 }
 
 // beginBy gives when work on a version of a model must have begun at the latest; old is false for the newest version. A version above the
--- a/sim/loading_test.go
+++ b/sim/loading_test.go
@@ -323,6 +323,69 @@
 	})
 }
 
+// followVersions takes what three cores tell of the ages of versions, as an agent does.
+func (f *Fleet) followVersions(ctx context.Context, named *atomic.Pointer[router.ModelVersions]) {
+	for i := range 3 {
+		follower := watch.NewClient(watch.ClientOptions{RPC: f.Wire, Address: At(CoreIP(i)), Path: "/core/pull", Wait: 100 * time.Millisecond,
+			Request: func() watch.Request { return watch.Request{Name: "agent", Role: "agent"} },
+			OnUpdate: func(_ *watch.Client, answer watch.Response) {
+				for _, e := range answer.Updates {
+					if e.Key == router.ModelVersionsKey {
+						named.Load().Apply(e.Fields, e.AgesMs)
+					}
+				}
+			}})
+		go follower.Run(ctx)
+	}
+}
+
+// The time of an old version that is over stays over when all cores and agents are killed, since a majority has recorded it; one that is not
+// over counts from the first core's new start.
+func TestEndOfAnOldVersionOutlastsARestartOfAll(t *testing.T) {
+	t.Parallel()
+	const limit = 5 * time.Second
+	o := numberedOptions(226, 3)
+	o.Core.OldVersionLimit = limit
+	inNumbered(t, o, func(is *is.I, f *Fleet) {
+		f.untilMembership(10*time.Second, "core-1 core-2 core-3")
+		var named atomic.Pointer[router.ModelVersions]
+		named.Store(&router.ModelVersions{})
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		f.followVersions(ctx, &named)
+		restart := func() {
+			for i := range 3 {
+				f.Kill(CoreIP(i))
+			}
+			named.Store(&router.ModelVersions{})
+			for i := range 3 {
+				f.StartCore(i)
+			}
+			time.Sleep(2 * time.Second)
+		}
+		age := func() time.Duration {
+			since, ok := named.Load().Superseded("m", 1)
+			is.True(ok)
+			return time.Since(since)
+		}
+		f.nameVersion(0, "m", 2)
+		time.Sleep(limit - time.Second)
+		restart()
+		is.True(age() < limit) // at its edge: not over before the restart
+		time.Sleep(limit)
+		is.True(age() >= limit)
+		restart()
+		is.True(age() >= limit)
+		for version := range uint64(300) {
+			f.nameVersion(0, "m", 3+version)
+		}
+		restart()
+		is.True(age() >= limit)
+		f.nameVersion(0, "m", 500)
+		time.Sleep(time.Second)
+	})
+}
+
 // All cores are killed while a version is being loaded. Since when it is named is known to nobody then, and it counts from the first core's
 // new start: so the replicas that have the version before may be used while the loading goes on. A single core that starts anew adds nothing
 // to what the others know.
@@ -335,18 +398,7 @@
 		named.Store(&router.ModelVersions{})
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
-		for i := range 3 {
-			follower := watch.NewClient(watch.ClientOptions{RPC: f.Wire, Address: At(CoreIP(i)), Path: "/core/pull", Wait: 100 * time.Millisecond,
-				Request: func() watch.Request { return watch.Request{Name: "agent", Role: "agent"} },
-				OnUpdate: func(_ *watch.Client, answer watch.Response) {
-					for _, e := range answer.Updates {
-						if e.Key == router.ModelVersionsKey {
-							named.Load().Apply(e.Fields, e.AgesMs)
-						}
-					}
-				}})
-			go follower.Run(ctx)
-		}
+		f.followVersions(ctx, &named)
 		age := func() time.Duration {
 			since, ok := named.Load().Superseded("m", 1)
 			is.True(ok)
