What waits for a frozen member's answer is bounded in bytes

Cause: a member that is frozen was sent every change until each call ended after 1.5 s, so what waited at the owner grew with the rate of changes (docs/control.md §4, not covered).

--- a/controlplane/acceptors.go
+++ b/controlplane/acceptors.go
@@ -83,8 +83,14 @@
 	return err
 }
 
-// Accept implements register.Peer.
+// Accept implements register.Peer. What does not fit beside the changes that wait for the member already is not sent: the member catches up
+// with it by following the others.
 func (a remoteAcceptor) Accept(ctx context.Context, change register.Change) error {
+	size := change.Fields.Size()
+	if !a.core.pendingAccepts.reserve(a.address, size) {
+		return apierror.New(apierror.Unreachable, "too much waits for %s", a.address)
+	}
+	defer a.core.pendingAccepts.release(a.address, size)
 	_, err := rpc.Call[struct{}](ctx, a.core.rpc, a.address, "/register/accept", a.acceptRequest(change))
 	return err
 }
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -49,6 +49,8 @@
 	Backend Backend
 	// Lease is the least time between the last order of one holder of a singleton role and the first of the next.
 	Lease time.Duration
+	// PendingBytes bounds the changes that wait for one member's answer, in bytes; 0: 16 MiB.
+	PendingBytes int
 	// OldVersionLimit is how long a version of a model may be used after the next one was published; 0: no end is recorded.
 	OldVersionLimit time.Duration
 	// WatchWait is how long a watch request of another core is held open; 0: protocol.DefaultWatchWait.
@@ -75,8 +77,10 @@
 	acceptor      *register.Acceptor
 	owner         *register.Owner
 	throttles     *throttle.Table
-	loads         inflight.Table
-	operations    operations
+	// pendingAccepts bounds the changes that wait for each member's answer.
+	pendingAccepts *byteBudget
+	loads          inflight.Table
+	operations     operations
 	// peerUpdates serves every register to the other cores, agentUpdates what agents need.
 	peerUpdates  *watch.Server
 	agentUpdates *watch.Server
@@ -152,6 +156,7 @@
 		bootstrapContacts: map[string]string{},
 		uncommittedSince:  map[string]time.Time{},
 		joiners:           map[string]membership.Joiner{},
+		pendingAccepts:    newByteBudget(options.PendingBytes),
 		announcedVersions: map[string][]announcedVersion{},
 		liveness:          membership.Tracker{MaxStep: 2 * tickInterval},
 		membershipChanged: make(chan struct{}),
--- a/register/entry.go
+++ b/register/entry.go
@@ -13,8 +13,6 @@
 	// maxDeltaFiles is how many deltas follow a full content before it is written anew; so it is when they outweigh it by deltaSlack bytes.
 	maxDeltaFiles = 64
 	deltaSlack    = 4096
-	// fieldOverhead is the size that each field counts for beside its name and value.
-	fieldOverhead = 8
 	// writeLockTimeout is how long a write waits for the one before it; a disk that stalls for longer rejects those behind.
 	writeLockTimeout = time.Second
 )
@@ -84,8 +82,8 @@
 // do not move meanwhile.
 func (e *entry) storeChange(d disk.Disk, folder string, change Change) error {
 	present := e.read().Fields
-	deltaBytes, written := e.deltaBytes+sizeOf(change.Fields), change
-	if !change.Full && (len(e.files) == 0 || len(e.files) >= maxDeltaFiles || deltaBytes > sizeOf(present)+deltaSlack) {
+	deltaBytes, written := e.deltaBytes+change.Fields.Size(), change
+	if !change.Full && (len(e.files) == 0 || len(e.files) >= maxDeltaFiles || deltaBytes > present.Size()+deltaSlack) {
 		written.Full, written.Fields = true, present.Clone()
 		written.Fields.Apply(change.Fields)
 	}
@@ -160,11 +158,3 @@
 		}
 	}
 }
-
-// sizeOf is the size in bytes that fields count for.
-func sizeOf(fields Fields) (size int) {
-	for name, value := range fields {
-		size += len(name) + len(value) + fieldOverhead
-	}
-	return size
-}
--- a/register/files.go
+++ b/register/files.go
@@ -146,7 +146,7 @@
 	e.apply(change)
 	e.files = append(e.files, versionFileName(change.Next))
 	if !change.Full {
-		e.deltaBytes += sizeOf(change.Fields)
+		e.deltaBytes += change.Fields.Size()
 	}
 }
 
--- a/register/register.go
+++ b/register/register.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// fieldOverhead is the size that each field counts for beside its name and value.
+const fieldOverhead = 8
+
+// Size is the size in bytes that the fields count for.
+func (f Fields) Size() (size int) {
+	for name, value := range f {
+		size += len(name) + len(value) + fieldOverhead
+	}
+	return size
+}
+
 // Clone copies the map, not the values, which are never altered.
 func (f Fields) Clone() Fields {
 	if f == nil {
