A broken stream ends with a reset for HTTP/1.0; targets that cannot go on as they came are refused

Cause: to a client of HTTP/1.0 a stream that broke off looked complete; a target that begins with two slashes and has characters to escape was escaped anew on its way to the replica (docs/control.md §5, not covered). Change: the connection of such a client is closed with a reset; such a target is refused as malformed and not run.

--- a/router/framing.go
+++ b/router/framing.go
@@ -88,6 +88,18 @@
 	return watchedListener{listener}
 }
 
+// resetOnClose has a client's connection end with a reset. To a client of HTTP/1.0, which knows no chunks, an answer that broke off would
+// look complete if its connection ended in order.
+func resetOnClose(q *http.Request) {
+	c, isWatched := q.Context().Value(watchedName{}).(*watched)
+	if !isWatched {
+		return
+	}
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(0) // a connection that is closed already has been reset by the client
+	}
+}
+
 // isFramedTwice reports whether a chunked request may have had a Content-Length too.
 func isFramedTwice(q *http.Request) bool {
 	c, watched := q.Context().Value(watchedName{}).(*watched)
--- a/router/relay.go
+++ b/router/relay.go
@@ -43,6 +43,9 @@
 	w.WriteHeader(a.Status)
 	err := r.relayBody(w, x)
 	x.Answer.end(err)
+	if err != nil && !x.Request.ProtoAtLeast(1, 1) {
+		resetOnClose(x.Request)
+	}
 	if err == nil {
 		x.Pool.answers.observe(time.Since(x.Sent))
 		r.step(x, Done, "")
@@ -80,7 +83,7 @@
 // in full (docs/design.md §5.7).
 func (r *Router) relayBody(w http.ResponseWriter, x *Exchange) error {
 	flush := http.NewResponseController(w)
-	stream := eventStream{lastID: x.LastEventID}
+	stream := eventStream{lastID: x.LastEventID, skipThrough: x.LastEventID}
 	for {
 		err := r.relayReplica(w, flush, x, &stream)
 		var broken errBroken
@@ -89,6 +92,7 @@
 		}
 		x.LastEventID = stream.lastID
 		stream.dropPartial()
+		stream.skipThrough = stream.lastID
 		if failure := r.resume(x, err); failure != nil {
 			return apierror.Wrap(err, apierror.StreamBroken, failure.Error())
 		}
@@ -211,6 +215,9 @@
 	lastID  uint64
 	buffer  []byte // what was taken last
 	partial []byte // of it, the event that is not whole yet
+	// skipThrough is the last event that the client has from an earlier answer: a replica that begins again sends it once more. It is zero
+	// from the first later event on.
+	skipThrough uint64
 }
 
 // eventEnd gives where the last complete event ends; 0 if there is none.
@@ -234,16 +241,43 @@
 	}
 	complete := e.buffer[:at]
 	e.partial = e.buffer[len(complete):]
+	if e.skipThrough > 0 {
+		complete = e.skipRepeated(complete)
+	}
 	for line := range bytes.Lines(complete) {
-		if text, found := bytes.CutPrefix(line, []byte("id:")); found {
-			if id, err := strconv.ParseUint(string(bytes.TrimSpace(text)), 10, 64); err == nil {
-				e.lastID = id
-			}
+		if id, found := eventID(line); found {
+			e.lastID = id
 		}
 	}
 	return complete
 }
 
+// eventID reads the ID from a line of an event.
+func eventID(line []byte) (id uint64, found bool) {
+	text, found := bytes.CutPrefix(line, []byte("id:"))
+	if !found {
+		return 0, false
+	}
+	id, err := strconv.ParseUint(string(bytes.TrimSpace(text)), 10, 64)
+	return id, err == nil
+}
+
+// skipRepeated leaves out the events up to the first whose ID is above skipThrough. What comes before it without an ID belongs to them.
+func (e *eventStream) skipRepeated(events []byte) []byte {
+	begin, at := 0, 0 // of the event, and of the line
+	for line := range bytes.Lines(events) {
+		at += len(line)
+		if id, found := eventID(line); found && id > e.skipThrough {
+			e.skipThrough = 0
+			return events[begin:]
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			begin = at
+		}
+	}
+	return nil
+}
+
 // dropPartial gives up the event that is not complete, and returns it.
 func (e *eventStream) dropPartial() []byte {
 	partial := e.partial
--- a/router/resumed_test.go
+++ b/router/resumed_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -60,15 +61,17 @@
 	sends   int           // events after which it breaks off, in the midst of the next; less than 0: it sends all
 	pause   time.Duration // before each event
 	foreign bool          // its answer bears another request's id
+	again   bool          // begins at the first event, whatever it is asked to go on behind
 }
 	again   bool          // begins at the first event, whatever it is asked to go on behind
 
 // streamer is all replicas: the runs come in the order in which they are asked, whichever is.
 type streamer struct {
-	mu    sync.Mutex
-	runs  []run
-	asked []string // "replica: after LAST, body"
-	left  []int
+	mu      sync.Mutex
+	runs    []run
+	asked   []string // "replica: after LAST, body"
+	targets []string
+	left    []int
 }
 
 const lastEvent = 12
@@ -90,6 +93,7 @@
 		s.mu.Lock()
 		left, _ := strconv.Atoi(q.Header.Get("X-Left-Ms"))
 		s.left = append(s.left, left)
+		s.targets = append(s.targets, q.RequestURI)
 		s.asked = append(s.asked, fmt.Sprintf("%s after %q: %s %s", q.Header.Get("X-Request-Id"), q.Header.Get("After-Event"), q.Method, body))
 		r := run{sends: -1}
 		if len(s.runs) > 0 {
@@ -113,6 +117,9 @@
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.Header().Set("X-Replica", name)
 		after, _ := strconv.Atoi(q.Header.Get("After-Event"))
+		if r.again {
+			after = 0
+		}
 		flush := http.NewResponseController(w)
 		for n := after + 1; n <= lastEvent; n++ {
 			time.Sleep(r.pause)
@@ -144,22 +151,7 @@
 // resumed plays with a router before two replicas that break off as told, on a path with these settings.
 func resumed(t *testing.T, p config.Path, play func(is *is.I, s *streamer, ask func(header ...string) stream, counts func(name string) int64)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		stand := sim.NewTestbed(router.Options{Name: "proxy-1", Protocol: plainDialect{}, Log: zerolog.Nop()})
-		defer stand.Stop()
-		s := &streamer{}
-		stand.Serve("10.0.2.1:80", s.replica("one"))
-		stand.Serve("10.0.2.2:80", s.replica("two"))
-		b := config.Empty()
-		p.Name, p.Address, p.Pool, p.Public, p.MaxBody, p.Cost = "stream", "/s/", "pool", true, 1000, 1
-		if p.DeadlineMs == 0 {
-			p.DeadlineMs = 60000
-		}
-		b.Paths["stream"] = p
-		b.Pools["pool"] = config.Pool{Name: "pool", Kind: "web"}
-		stand.Configure(b, config.Replica{Name: "one", Address: "10.0.2.1:80", Pool: "pool", State: "present", Limit: 8},
-			config.Replica{Name: "two", Address: "10.0.2.2:80", Pool: "pool", State: "present", Limit: 8})
+	resumedOn(t, p, func(is *is.I, s *streamer, stand *sim.Testbed) {
 		ask := func(header ...string) stream {
 			q, err := http.NewRequest(http.MethodPost, "http://"+sim.TestbedAddress+"/s/x", strings.NewReader("a body"))
 			is.NoErr(err)
@@ -184,6 +176,32 @@
 	})
 }
 
+// resumedOn is resumed for callers that connect by themselves.
+func resumedOn(t *testing.T, p config.Path, play func(is *is.I, s *streamer, stand *sim.Testbed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		stand := sim.NewTestbed(router.Options{Name: "proxy-1", Protocol: plainDialect{}, Log: zerolog.Nop()})
+		defer stand.Stop()
+		s := &streamer{}
+		stand.Serve("10.0.2.1:80", s.replica("one"))
+		stand.Serve("10.0.2.2:80", s.replica("two"))
+		b := config.Empty()
+		p.Name, p.Pool, p.Public, p.MaxBody, p.Cost = "stream", "pool", true, 1000, 1
+		if p.Address == "" {
+			p.Address = "/s/"
+		}
+		if p.DeadlineMs == 0 {
+			p.DeadlineMs = 60000
+		}
+		b.Paths["stream"] = p
+		b.Pools["pool"] = config.Pool{Name: "pool", Kind: "web"}
+		stand.Configure(b, config.Replica{Name: "one", Address: "10.0.2.1:80", Pool: "pool", State: "present", Limit: 8},
+			config.Replica{Name: "two", Address: "10.0.2.2:80", Pool: "pool", State: "present", Limit: 8})
+		play(is, s, stand)
+	})
+}
+
 var resumable = config.Path{Resumable: true}
 
 // The first replica breaks off in the midst of an event, and the second goes on behind the last whole one: the caller gets every event once,
@@ -222,6 +240,25 @@
 	}
 }
 
+// A replica that is asked to go on behind an event and begins again all the same: the caller gets no event twice, from whichever replica, and
+// none is missing.
+func TestResumedStreamThatBeginsAgainRepeatsNoEvent(t *testing.T) {
+	for sent := range lastEvent {
+		resumed(t, resumable, func(is *is.I, s *streamer, ask func(...string) stream, _ func(string) int64) {
+			s.runs = []run{{sends: sent}, {sends: -1, again: true}}
+			got := ask()
+			is.NoErr(got.err)
+			is.Equal(got.text, eventsFrom(1, lastEvent))
+		})
+		resumed(t, resumable, func(is *is.I, s *streamer, ask func(...string) stream, _ func(string) int64) {
+			s.runs = []run{{sends: sent, again: true}, {sends: -1, again: true}}
+			got := ask("After-Event", "5")
+			is.NoErr(got.err)
+			is.Equal(got.text, eventsFrom(6, lastEvent))
+		})
+	}
+}
+
 // Between the events that one replica sends, nothing is held back but what is not whole: the caller has each event as it comes.
 func TestWholeEventsArePassedOnAtOnce(t *testing.T) {
 	resumed(t, resumable, func(is *is.I, s *streamer, ask func(...string) stream, _ func(string) int64) {
@@ -350,3 +387,50 @@
 		is.Equal(len(s.asked), 1)
 	})
 }
+
+// To a client of HTTP/1.0 a stream ends with its connection. One that breaks off ends with a reset, so that it does not look complete; a
+// complete one ends in order.
+func TestBrokenStreamLooksBrokenToAClientOfOldHTTP(t *testing.T) {
+	for _, sent := range []int{0, 3, -1} {
+		resumedOn(t, config.Path{}, func(is *is.I, s *streamer, stand *sim.Testbed) {
+			s.runs = []run{{sends: sent}}
+			client, err := stand.Net.Host("10.0.9.1").DialContext(context.Background(), "tcp", sim.TestbedAddress)
+			is.NoErr(err)
+			defer client.Close()
+			_, err = io.WriteString(client, "POST /s/x HTTP/1.0\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n")
+			is.NoErr(err)
+			text, err := io.ReadAll(client)
+			if sent < 0 {
+				is.NoErr(err)
+				is.True(strings.HasSuffix(string(text), eventsFrom(1, lastEvent)))
+				return
+			}
+			is.True(err != nil)
+		})
+	}
+}
+
+// A target goes to the replica byte for byte, or is refused as not run: one that begins with two slashes and has characters that are to be
+// escaped cannot be sent as it came.
+func TestTargetsGoOnAsTheyCameOrAreRefused(t *testing.T) {
+	for target, passed := range map[string]bool{"/s/a|b": true, "/s/a%7Cb": true, "//s/a": true, "//s/a%7cb?x=|": true, "//s/a|b": false, "//s/a%7cb|": false} {
+		resumedOn(t, config.Path{Address: "/"}, func(is *is.I, s *streamer, stand *sim.Testbed) {
+			client, err := stand.Net.Host("10.0.9.1").DialContext(context.Background(), "tcp", sim.TestbedAddress)
+			is.NoErr(err)
+			defer client.Close()
+			_, err = io.WriteString(client, "POST "+target+" HTTP/1.1\r\nHost: x\r\nX-Request-Id: r1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+			is.NoErr(err)
+			answer, err := http.ReadResponse(bufio.NewReader(client), nil)
+			is.NoErr(err)
+			defer answer.Body.Close()
+			if !passed {
+				is.Equal(answer.StatusCode, http.StatusBadRequest)
+				is.Equal(answer.Header.Get("X-Ran"), "no")
+				is.Equal(len(s.asked), 0)
+				return
+			}
+			is.Equal(answer.StatusCode, http.StatusOK)
+			is.Equal(s.targets, []string{target})
+		})
+	}
+}
--- a/router/send.go
+++ b/router/send.go
@@ -139,6 +139,8 @@
 	}
 	if target := x.Request.RequestURI; strings.HasPrefix(target, "/") && !strings.HasPrefix(target, "//") {
 		q.URL = &url.URL{Scheme: "http", Host: x.replica.Address, Opaque: target} // as it came, and not escaped anew
+	} else if strings.HasPrefix(target, "//") && q.URL.RequestURI() != target { // net/url takes no such target as it came
+		return nil, apierror.New(apierror.Malformed, "a target that begins with two slashes has characters that RFC 3986 wants escaped")
 	}
 	q.Host = x.Request.Host
 	hops := map[string]bool{} // that the caller's connection alone concern
--- a/sim/network.go
+++ b/sim/network.go
@@ -319,6 +319,7 @@
 	readBy        time.Time
 	writeBy       time.Time
 	userTimeout   time.Duration
+	abortive      bool // closing it resets it
 }
 
 // Read implements net.Conn.
@@ -348,8 +349,23 @@
 	return *which
 }
 
+// SetLinger acts as the socket option SO_LINGER of 0 s: closing the connection resets it. Other times are not known here.
+func (c *conn) SetLinger(seconds int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.abortive = seconds == 0
+	return nil
+}
+
 // Close ends the outgoing direction and discards incoming data.
 func (c *conn) Close() error {
+	c.mu.Lock()
+	abortive := c.abortive
+	c.mu.Unlock()
+	if abortive {
+		c.reset()
+		return nil
+	}
 	c.network.mu.Lock()
 	delete(c.network.conns, c)
 	c.network.mu.Unlock()
