--- a/router/resumed_test.go
+++ b/router/resumed_test.go
@@ -63,7 +63,6 @@
 	foreign bool          // its answer bears another request's id
 	again   bool          // begins at the first event, whatever it is asked to go on behind
 }
-	again   bool          // begins at the first event, whatever it is asked to go on behind
 
 // streamer is all replicas: the runs come in the order in which they are asked, whichever is.
 type streamer struct {
@@ -123,9 +122,6 @@
 		flush := http.NewResponseController(w)
 		for n := after + 1; n <= lastEvent; n++ {
 			time.Sleep(r.pause)
-		if r.again {
-			after = 0
-		}
 			text := event(n)
 			if r.sends == 0 {
 				_, _ = io.WriteString(w, text[:len(text)/2])
@@ -273,25 +269,6 @@
 
 // A path's tries bound how many replicas one stream goes to; then the caller's connection is aborted behind a whole event.
 func TestTriesBoundResumedStreams(t *testing.T) {
-// A replica that is asked to go on behind an event and begins again all the same: the caller gets no event twice, from whichever replica, and
-// none is missing.
-func TestResumedStreamThatBeginsAgainRepeatsNoEvent(t *testing.T) {
-	for sent := range lastEvent {
-		resumed(t, resumable, func(is *is.I, s *streamer, ask func(...string) stream, _ func(string) int64) {
-			s.runs = []run{{sends: sent}, {sends: -1, again: true}}
-			got := ask()
-			is.NoErr(got.err)
-			is.Equal(got.text, eventsFrom(1, lastEvent))
-		})
-		resumed(t, resumable, func(is *is.I, s *streamer, ask func(...string) stream, _ func(string) int64) {
-			s.runs = []run{{sends: sent, again: true}, {sends: -1, again: true}}
-			got := ask("After-Event", "5")
-			is.NoErr(got.err)
-			is.Equal(got.text, eventsFrom(6, lastEvent))
-		})
-	}
-}
-
 	for _, tries := range []int{1, 2} {
 		p := resumable
 		p.Tries = tries
