Founders found the fleet though one of them has lost its disk

Cause: a founder that lost its disk before the first list stood kept the others waiting for ever (docs/control.md, roles, not covered). Change: a majority of disks from the first start is enough, with all founders present and told of each other; the list then has a revision of its own, above the one that the lost disk may have written. Nothing can have been accepted under that one, since each majority of it has one of the others. A core that is told of a list takes it under its own revision.

--- a/controlplane/bootstrap.go
+++ b/controlplane/bootstrap.go
@@ -19,8 +19,12 @@
 
 const coreRole = "core"
 
-// bootstrapRevision is the revision of the first list; all bootstrap peers write the same content under it.
-var bootstrapRevision = register.Revision{Epoch: 1, Version: 1}
+// The revision of the first list, under which all bootstrap peers write the same content: the first one if all their disks date from the
+// first start, else the second, since one that has lost its disk may have written another list under the first and told agents of it.
+var (
+	bootstrapRevision       = register.Revision{Epoch: 1, Version: 1}
+	secondBootstrapRevision = register.Revision{Epoch: 2, Version: 1}
+)
 
 func (c *Core) helloMessage() protocol.Hello {
 	c.mu.Lock()
@@ -68,7 +72,8 @@
 }
 
 // bootstrap introduces this core to the bootstrap peers. Once all of them tell of the same (address, incarnation) pairs and none knows a
-// list, each writes the same first list (docs/design.md §2.6).
+// list, each whose disk dates from the first start writes the same first list (docs/design.md §2.6). A majority of them have to be such:
+// one that has lost its disk since is told the list by the others, and nothing was accepted under a list that neither of them knows.
 func (c *Core) bootstrap(ctx context.Context) {
 	peers := c.host.BootstrapPeers
 	if peers == nil {
@@ -78,7 +83,10 @@
 	hellos := []protocol.Hello{{Name: c.host.Name, Address: c.host.Address, Zone: c.host.Zone, Incarnation: c.incarnation}}
 	for h := range c.contactSeeds(ctx, peers) {
 		if len(h.Members) > 0 {
-			c.adoptBootstrapMembers(h.Members)
+			c.adoptMembership(h.MembersRecord)
+			if c.membership().self == nil {
+				c.adoptBootstrapMembers(h.Members, bootstrapRevision)
+			}
 			return
 		}
 		if h.Role == coreRole && slices.Contains(peers, h.Address) {
@@ -92,14 +100,25 @@
 	if !c.mayBootstrap || !slices.Contains(peers, c.host.Address) || len(contacts) != len(peers) {
 		return
 	}
+	founders := 1
 	for _, h := range hellos[1:] {
-		if !h.MayBootstrap || !maps.Equal(h.BootstrapContacts, contacts) {
+		if !maps.Equal(h.BootstrapContacts, contacts) {
 			return
 		}
+		if h.MayBootstrap {
+			founders++
+		}
+	}
+	if founders < membership.Majority(len(peers)) {
+		return
+	}
+	revision := bootstrapRevision
+	if founders < len(peers) {
+		revision = secondBootstrapRevision
 	}
 	members := firstMembers(hellos)
 	c.host.Log.Info().Int("members", len(members)).Msg("fleet bootstrapped")
-	c.adoptBootstrapMembers(members)
+	c.adoptBootstrapMembers(members, revision)
 }
 
 // firstMembers numbers the bootstrap peers by their addresses, so that all of them make the same list.
@@ -111,8 +130,8 @@
 	return members
 }
 
-// adoptBootstrapMembers stores the first list if this core is on it; else it only notes where the members are.
-func (c *Core) adoptBootstrapMembers(members []config.Member) {
+// adoptBootstrapMembers stores the first list under a revision if this core is on it; else it only notes where the members are.
+func (c *Core) adoptBootstrapMembers(members []config.Member, revision register.Revision) {
 	if !membership.HasIncarnation(members, c.incarnation) {
 		c.observeMembers(members)
 		return
@@ -121,7 +140,7 @@
 	for _, m := range members {
 		fields[m.Name], _ = json.Marshal(m) // a plain struct always encodes
 	}
-	if err := c.acceptor.Adopt(config.MembersKey, bootstrapRevision, fields); err != nil {
+	if err := c.acceptor.Adopt(config.MembersKey, revision, fields); err != nil {
 		c.host.Log.Error().Err(apierror.Wrap(err, apierror.DiskFailed, "members")).Msg("first members not stored")
 		return
 	}
