--- a/sim/faults_test.go
+++ b/sim/faults_test.go
@@ -194,36 +194,46 @@
 	return 0, false, err
 }
 
+// A proxy that has no word of a majority admits nothing once its term is over, and its streams finish: whether its agent is cut off from the
+// cores, or it is itself cut off from its agent alone, which hears them all.
 func TestCutOffProxyStopsAdmittingAndItsStreamsFinish(t *testing.T) {
 	t.Parallel()
-	inBubble(t, options(31), func(is *is.I, f *Fleet) {
-		long := `{"model":"light","stream":true,"max_tokens":600,"messages":[{"role":"user","content":"a long one"}]}`
-		var running sync.WaitGroup
-		running.Go(func() {
-			status, _, text := f.Ask(0, "a", "", long)
-			is.Equal(status, 200)
-			is.True(len(text) > 10000)
-		})
-		time.Sleep(200 * time.Millisecond)
-		for i := range 4 {
-			f.Net.PartitionGroups([]string{CoreIP(i)}, []string{ProxyIP(0)}, true)
-		}
-		stopped := f.Until(1700*time.Millisecond, "the cut-off proxy admits nothing", func() bool {
-			_, code, _ := f.Ask(0, "a", "", chat("light"))
-			return code == "214"
-		})
-		t.Logf("stopped admitting after %v", stopped)
-		must(f.merge(`{"tenants":[{"name":"a","weight":9}]}`))
-		running.Wait()
-		for i := range 4 {
-			f.Net.PartitionGroups([]string{CoreIP(i)}, []string{ProxyIP(0)}, false)
-		}
-		f.Until(5*time.Second, "it admits again", func() bool {
-			status, _, _ := f.Ask(0, "a", "", chat("light"))
-			return status == 200
+	for name, cut := range map[string]func(f *Fleet, apart bool){
+		"agent from the cores": func(f *Fleet, apart bool) {
+			for i := range 4 {
+				f.Net.PartitionGroups([]string{CoreIP(i)}, []string{ProxyIP(0)}, apart)
+			}
+		},
+		"proxy from its agent": func(f *Fleet, apart bool) { f.Net.setPartitioned(ProxyIP(0), ProxyIP(0), apart) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			inBubble(t, options(31), func(is *is.I, f *Fleet) {
+				long := `{"model":"light","stream":true,"max_tokens":600,"messages":[{"role":"user","content":"a long one"}]}`
+				var running sync.WaitGroup
+				running.Go(func() {
+					status, _, text := f.Ask(0, "a", "", long)
+					is.Equal(status, 200)
+					is.True(len(text) > 10000)
+				})
+				time.Sleep(200 * time.Millisecond)
+				cut(f, true)
+				stopped := f.Until(1700*time.Millisecond, "the cut-off proxy admits nothing", func() bool {
+					_, code, _ := f.Ask(0, "a", "", chat("light"))
+					return code == "214"
+				})
+				t.Logf("stopped admitting after %v", stopped)
+				must(f.merge(`{"tenants":[{"name":"a","weight":9}]}`))
+				running.Wait()
+				cut(f, false)
+				f.Until(5*time.Second, "it admits again", func() bool {
+					status, _, _ := f.Ask(0, "a", "", chat("light"))
+					return status == 200
+				})
+				noBreach(is, f)
+			})
 		})
-		noBreach(is, f)
-	})
+	}
 }
 
 func TestSplitCoreAcceptsNothingInAMinority(t *testing.T) {
