--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -54,3 +55,25 @@
 		is.Equal(fmt.Sprint(c.steps, " ", answers[len(answers)-1]), fmt.Sprint(c.steps, " ", c.last))
 	}
 }
+
+// The bounds of what is remembered of a request that gave its key back: a late copy takes no key until as many requests as a record remembers
+// have given it back since, and a released record is kept for its time.
+func TestReleasedRequestsAreRememberedUpToTheBounds(t *testing.T) {
+	is := is.New(t)
+	late := func(later int) string {
+		steps := []string{"a running", "a free"}
+		for n := range later {
+			steps = append(steps, fmt.Sprintf("r%d running", n), fmt.Sprintf("r%d free", n))
+		}
+		answers := claimed(append(steps, "a running")...)
+		return answers[len(answers)-1]
+	}
+	for later := range maxReleased + 1 {
+		is.Equal(late(later), "no_claim")
+	}
+	is.Equal(late(maxReleased+1), "yes")
+	released := Record{State: Released}
+	is.True(!released.Expired(releasedRetention, time.Hour))
+	is.True(released.Expired(releasedRetention+1, time.Hour))
+	is.True(!Record{State: Executed}.Expired(time.Hour, time.Hour))
+}
