--- a/lease/grant.go
+++ b/lease/grant.go
@@ -28,12 +28,18 @@
 	nonceField  = "mark"
 )
 
-// ReadGrant gives the grant that a role's register has; the zero one if the role was never taken.
+// ReadGrant gives the grant that a role's register has; the zero one if the role was never taken. A holder that cannot be read is somebody:
+// its lease is waited out as any other.
 func ReadGrant(fields register.Fields, version uint64) Grant {
-	g := Grant{Version: version}
-	_ = json.Unmarshal(fields[holderField], &g.Holder) // absent: nobody yet
-	_ = json.Unmarshal(fields[nonceField], &g.Nonce)   // absent: from a build before there were nonces
-	return g
+	return Grant{Holder: readText(fields[holderField]), Nonce: readText(fields[nonceField]), Version: version}
+}
+
+// readText gives a stored string, or the bytes themselves if they are none; empty if there are none.
+func readText(raw json.RawMessage) (text string) {
+	if json.Unmarshal(raw, &text) != nil {
+		return string(raw)
+	}
+	return text
 }
 
 // Replace is the register's change by which a grant comes in the place of the expected one, and of no other. The error is apierror.Conflict
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -126,6 +126,15 @@
 	})
 }
 
+// A register whose holder cannot be read is held by somebody; one without a holder was released.
+func TestHolderThatCannotBeReadIsSomebody(t *testing.T) {
+	is := is.New(t)
+	is.True(ReadGrant(nil, 0).IsFree())
+	is.True(!ReadGrant(register.Fields{"holder": []byte(`{"torn`), "mark": []byte(`"m"`)}, 3).IsFree())
+	is.True(ReadGrant(register.Fields{"holder": []byte(`""`), "mark": []byte(`"m"`)}, 3).IsReleased())
+	is.Equal(ReadGrant(register.Fields{"holder": []byte(`"a"`)}, 3), Grant{Holder: "a", Version: 3})
+}
+
 // A lease that was released is taken at the next campaign of another candidate, the one that released it never has it again, and one whose
 // release could not be written is waited out.
 func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
