--- a/cmd/asterridgectl/order.go
+++ b/cmd/asterridgectl/order.go
@@ -17,43 +17,43 @@
 const (
 	// callTimeout bounds one call to one core.
 	callTimeout = 10 * time.Second
-	// orderTimeout is for how long an order whose answer is lost is sent again; the pause between two copies doubles from firstPause on.
-	orderTimeout = 30 * time.Second
-	firstPause   = 100 * time.Millisecond
-	maxPause     = 2 * time.Second
+	// orderTimeout is for how long an order whose answer is lost is sent again; the pause between two copies doubles from initialBackoff on.
+	orderTimeout   = 30 * time.Second
+	initialBackoff = 100 * time.Millisecond
+	maxBackoff     = 2 * time.Second
 )
 
 // submit names an order and sends it to the cores until one of them answers whether it was applied. Each copy bears the same name, so the
 // order has its effect once. The error is apierror.Undecided or Unreachable if no such answer came.
 func (s *session) submit(c command) (controlplane.Accepted, error) {
-	if err := s.name(c); err != nil {
+	if err := s.identify(c); err != nil {
 		return controlplane.Accepted{}, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
-	for pause := firstPause; ; pause = min(2*pause, maxPause) {
+	for backoff := initialBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		accepted, err := call[controlplane.Accepted](s, "/op/"+c.order, c.body)
-		isLost := apierror.Is(err, apierror.Unreachable) || apierror.Is(err, apierror.Undecided)
-		if !isLost || rpc.Sleep(ctx, pause) != nil {
-			return accepted, c.explainLost(err, isLost)
+		lost := apierror.Is(err, apierror.Unreachable) || apierror.Is(err, apierror.Undecided)
+		if !lost || rpc.Sleep(ctx, backoff) != nil {
+			return accepted, c.explainLost(err, lost)
 		}
 	}
 }
 
 // explainLost tells how to ask again for an order whose answer is lost.
-func (c command) explainLost(err error, isLost bool) error {
-	if !isLost || c.key == nil {
+func (c command) explainLost(err error, lost bool) error {
+	if !lost || c.key == nil {
 		return err
 	}
 	return apierror.Wrap(err, apierror.Undecided,
 		fmt.Sprintf("whether it was applied is not known; the same order with -key %s:%d has its effect once", c.key.IdempotencyKey, c.key.KnownVersion))
 }
 
-// name gives an order the idempotency key, or the member, that tells it from all others.
-func (s *session) name(c command) error {
+// identify gives an order the idempotency key, or the member, that tells it from all others.
+func (s *session) identify(c command) error {
 	switch {
 	case c.member != nil:
-		return s.nameMember(c.member)
+		return s.identifyMember(c.member)
 	case c.key == nil:
 		return nil
 	}
@@ -69,8 +69,8 @@
 	return err
 }
 
-// nameMember adds to a change of the members which member or joiner of that name it means.
-func (s *session) nameMember(change *membership.Change) error {
+// identifyMember adds to a change of the members which member or joiner of that name it means.
+func (s *session) identifyMember(change *membership.Change) error {
 	answer, err := call[controlplane.QueryResponse](s, "/query", controlplane.Query{Kind: "members", Where: []controlplane.Condition{
 		{Field: "name", Operator: "=", Value: change.Name},
 	}})
--- a/config/adapter.go
+++ b/config/adapter.go
@@ -96,11 +96,11 @@
 }
 
 // splitHolder takes the RoleHolder out of a register's fields.
-func splitHolder(fields register.Fields) (rest register.Fields, holder RoleHolder, err error) {
-	rest = fields.Clone()
-	delete(rest, RoleHolderField)
+func splitHolder(fields register.Fields) (others register.Fields, holder RoleHolder, err error) {
+	others = fields.Clone()
+	delete(others, RoleHolderField)
 	holder, err = ParseRoleHolder(fields)
-	return rest, holder, err
+	return others, holder, err
 }
 
 // Check rejects what comes under a lease below the one that has written last. The error is apierror.Superseded.
@@ -113,12 +113,12 @@
 
 // ParseRetirements reads the register's content.
 func ParseRetirements(fields register.Fields) (Retirements, RoleHolder, error) {
-	rest, holder, err := splitHolder(fields)
+	others, holder, err := splitHolder(fields)
 	if err != nil {
 		return nil, RoleHolder{}, err
 	}
-	maps.DeleteFunc(rest, func(field string, _ json.RawMessage) bool { return idempotency.IsField(field) })
-	all, err := Load[Retirement](rest)
+	maps.DeleteFunc(others, func(field string, _ json.RawMessage) bool { return idempotency.IsField(field) })
+	all, err := Load[Retirement](others)
 	return all, holder, err
 }
 
--- a/config/registers.go
+++ b/config/registers.go
@@ -54,11 +54,11 @@
 
 // ParseLoads reads the register of loads: the last order of each replica, and who wrote last under which lease.
 func ParseLoads(fields register.Fields) (map[string]LoadOrder, RoleHolder, error) {
-	rest, holder, err := splitHolder(fields)
+	others, holder, err := splitHolder(fields)
 	if err != nil {
 		return nil, RoleHolder{}, err
 	}
-	orders, err := Load[LoadOrder](rest)
+	orders, err := Load[LoadOrder](others)
 	return orders, holder, err
 }
 
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -269,7 +269,7 @@
 	mux.Handle("POST /core/hello", rpc.Handler(fleet, c.handleHello))
 	mux.Handle("POST /core/pull", rpc.Handler(fleet, c.agentUpdates.Watch))
 	mux.Handle("POST /core/whole", rpc.Handler(fleet, c.peerUpdates.Watch))
-	mux.Handle("POST /core/silence", rpc.Handler(fleet, c.handleSilence))
+	mux.Handle("POST /core/liveness", rpc.Handler(fleet, c.handleLiveness))
 	mux.Handle("POST /core/hold", rpc.Handler(fleet, c.handleThrottle))
 	mux.Handle("POST /core/place", rpc.Handler(fleet, c.handlePlacement))
 	mux.Handle("POST /register/promise", rpc.Handler(fleet, c.handlePrepare))
--- a/controlplane/liveness.go
+++ b/controlplane/liveness.go
@@ -38,29 +38,29 @@
 	return time.Time{}
 }
 
-// SilenceRequest asks a core for how long it has not heard a member.
-type SilenceRequest struct {
+// LivenessRequest asks a core for how long it has not heard a member.
+type LivenessRequest struct {
 	Member config.Member `json:"member"`
 }
 
-// SilenceResponse is the time for which the core has not heard the member; 0 while it has not heard a majority for long enough to tell.
-type SilenceResponse struct {
+// LivenessResponse is the time for which the core has not heard the member; 0 while it has not heard a majority for long enough to tell.
+type LivenessResponse struct {
 	UnresponsiveMs int64 `json:"unresponsive_ms"`
 }
 
-func (c *Core) handleSilence(_ context.Context, request SilenceRequest) (SilenceResponse, error) {
+func (c *Core) handleLiveness(_ context.Context, request LivenessRequest) (LivenessResponse, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.liveness.Stable() {
-		return SilenceResponse{}, nil
+		return LivenessResponse{}, nil
 	}
-	return SilenceResponse{UnresponsiveMs: c.liveness.UnresponsiveFor(request.Member).Milliseconds()}, nil
+	return LivenessResponse{UnresponsiveMs: c.liveness.UnresponsiveFor(request.Member).Milliseconds()}, nil
 }
 
 // isConfirmed reports whether a proposal stands on more than this core's own word: a member is removed for its silence only if a majority of
 // the others has missed it for as long. Who does not answer, or is from an earlier build, has not missed it.
 func (c *Core) isConfirmed(ctx context.Context, proposal membership.Proposal, members []config.Member) bool {
-	if proposal.Silence == 0 {
+	if proposal.UnresponsiveFor == 0 {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, protocol.HelloTimeout)
@@ -73,8 +73,8 @@
 		}
 		asked++
 		go func() {
-			response, err := rpc.Call[SilenceResponse](ctx, c.rpc, m.Address, "/core/silence", SilenceRequest{Member: proposal.Member})
-			answers <- err == nil && response.UnresponsiveMs >= proposal.Silence.Milliseconds()
+			response, err := rpc.Call[LivenessResponse](ctx, c.rpc, m.Address, "/core/liveness", LivenessRequest{Member: proposal.Member})
+			answers <- err == nil && response.UnresponsiveMs >= proposal.UnresponsiveFor.Milliseconds()
 		}()
 	}
 	voices := 1 // this core's
--- a/controlplane/operation.go
+++ b/controlplane/operation.go
@@ -43,13 +43,13 @@
 
 func newOperations(c *Core) operations {
 	return operations{
-		config:         operation[ConfigChange, Accepted]{core: c, name: config.Key, key: always[ConfigChange](config.Key), apply: c.applyConfig, idempotent: ConfigChange.IsNamed},
+		config:         operation[ConfigChange, Accepted]{core: c, name: config.Key, key: always[ConfigChange](config.Key), apply: c.applyConfig, idempotent: ConfigChange.HasKey},
 		numberedConfig: operation[config.NumberedConfig, Accepted]{core: c, name: "declaration", key: always[config.NumberedConfig](config.Key), apply: c.applyNumberedConfig, idempotent: always[config.NumberedConfig](true)},
 		accessKey:      operation[AccessKeyChange, Accepted]{core: c, name: "keys", key: AccessKeyChange.Register, apply: c.applyAccessKey, idempotent: always[AccessKeyChange](true)},
 		replicas:       operation[ReplicasChange, Accepted]{core: c, name: "replicas", key: always[ReplicasChange](config.ReplicasKey), apply: c.applyReplicas, idempotent: always[ReplicasChange](true)},
 		modelVersion:   operation[ModelVersionChange, Accepted]{core: c, name: "models", key: always[ModelVersionChange](config.ModelsKey), apply: c.applyModelVersion, idempotent: always[ModelVersionChange](true)},
 		loads:          operation[register.Fields, Accepted]{core: c, name: "loads", key: always[register.Fields](config.LoadsKey), apply: c.applyLoads, idempotent: always[register.Fields](true)},
-		retirement:     operation[RetirementChange, Accepted]{core: c, name: "retirement", key: always[RetirementChange](config.RetirementKey), apply: c.applyRetirement, idempotent: RetirementChange.IsNamed},
+		retirement:     operation[RetirementChange, Accepted]{core: c, name: "retirement", key: always[RetirementChange](config.RetirementKey), apply: c.applyRetirement, idempotent: RetirementChange.HasKey},
 		retirementStep: operation[RetirementStep, Accepted]{core: c, name: "advance", key: always[RetirementStep](config.RetirementKey), apply: c.applyRetirementStep, idempotent: always[RetirementStep](true)},
 		claim:          operation[claim.Request, struct{}]{core: c, name: "claim", key: claim.Request.Register, apply: c.applyClaim, idempotent: always[claim.Request](true)},
 		throttle:       operation[throttle.Notice, struct{}]{core: c, name: "hold", key: throttleRegister, apply: c.applyThrottle, idempotent: always[throttle.Notice](true)},
--- a/deployment/bounds.go
+++ b/deployment/bounds.go
@@ -63,8 +63,8 @@
 	claimRetention = time.Hour
 	// bodyMemoryShare is the part of the memory that holds clients' bodies: a quarter.
 	bodyMemoryShare = 4
-	// pendingMemoryShare is the part of a core's memory that holds the changes which wait for one member's answer: a sixteenth.
-	pendingMemoryShare = 16
+	// pendingMemoryDivisor gives the part of a core's memory that holds the changes which wait for one member's answer: a sixteenth.
+	pendingMemoryDivisor = 16
 	// indexEntriesPerMB sizes the prefix index.
 	indexEntriesPerMB = 100
 )
@@ -114,7 +114,7 @@
 		AutoMembership:  true,
 		Lease:           b.Lease,
 		OldVersionLimit: b.oldVersionLimit(),
-		PendingBytes:    b.MemoryMB << 20 / pendingMemoryShare,
+		PendingBytes:    b.MemoryMB << 20 / pendingMemoryDivisor,
 		WatchWait:       coreWatchWait,
 		Tolerance:       b.Tolerance,
 		LeaveTimeout:    min(controlplane.MaxLeaveTimeout, b.Grace/2),
--- a/idempotency/memory.go
+++ b/idempotency/memory.go
@@ -38,8 +38,8 @@
 	KnownVersion uint64 `json:"known_version,omitempty"`
 }
 
-// IsNamed reports whether the caller has named its order.
-func (k Key) IsNamed() bool { return k.IdempotencyKey != "" }
+// HasKey reports whether the caller has named its order.
+func (k Key) HasKey() bool { return k.IdempotencyKey != "" }
 
 // Order is an order as the memory tells it from others. The zero Order has no key and is never remembered.
 type Order struct {
@@ -51,7 +51,7 @@
 // Identify makes an Order of a key and the content that is sent under it, which has to encode as JSON and not to contain the key. The error
 // is apierror.OutOfRange if the key is too long.
 func Identify(key Key, content any) (Order, error) {
-	if !key.IsNamed() {
+	if !key.HasKey() {
 		return Order{}, nil
 	}
 	if len(key.IdempotencyKey) > MaxKeyBytes {
@@ -64,8 +64,8 @@
 	return Order{key: hash([]byte(key.IdempotencyKey)), fingerprint: hash(text), knownVersion: key.KnownVersion}, nil
 }
 
-// IsNamed reports whether the order has a key.
-func (o Order) IsNamed() bool { return o.key != "" }
+// HasKey reports whether the order has a key.
+func (o Order) HasKey() bool { return o.key != "" }
 
 func hash(text []byte) string {
 	sum := sha256.Sum256(text)
@@ -89,12 +89,12 @@
 // IsField reports whether a register's field belongs to the memory.
 func IsField(field string) bool { return strings.HasPrefix(field, fieldPrefix) }
 
-// Split takes a register's content apart into the memory and all the rest. The error is apierror.Malformed if the memory cannot be read.
-func Split(content register.Fields) (m Memory, rest register.Fields, err error) {
-	rest = make(register.Fields, len(content))
+// Split takes a register's content apart into the memory and all others. The error is apierror.Malformed if the memory cannot be read.
+func Split(content register.Fields) (m Memory, others register.Fields, err error) {
+	others = make(register.Fields, len(content))
 	for field, raw := range content {
 		if !IsField(field) {
-			rest[field] = raw
+			others[field] = raw
 			continue
 		}
 		var r record
@@ -104,13 +104,13 @@
 		m.records = append(m.records, r)
 	}
 	slices.SortFunc(m.records, func(a, b record) int { return cmp.Compare(a.Sequence, b.Sequence) })
-	return m, rest, nil
+	return m, others, nil
 }
 
 // AppliedVersion gives the register's version that an order made; 0 if it was never applied. The errors are apierror.KeyReused if another
 // order was applied under the same key, and apierror.Forgotten if this one may have been applied and forgotten.
 func (m Memory) AppliedVersion(order Order) (uint64, error) {
-	if !order.IsNamed() {
+	if !order.HasKey() {
 		return 0, nil
 	}
 	for _, r := range m.records {
--- a/idempotency/memory_test.go
+++ b/idempotency/memory_test.go
@@ -85,7 +85,7 @@
 	is.True(apierror.Is(err, apierror.OutOfRange))
 	order, err := Identify(Key{}, "x")
 	is.NoErr(err)
-	is.True(!order.IsNamed())
+	is.True(!order.HasKey())
 }
 
 func TestTornMemoryIsAnError(t *testing.T) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -99,10 +99,10 @@
 // the lease from the call on. If the release cannot be written, the others wait for the lease's end as ever.
 func (c *Candidate) Release(ctx context.Context) {
 	c.mu.Lock()
-	granted, held := c.granted, c.holds(time.Now())
+	granted, active := c.granted, c.holds(time.Now())
 	c.expires, c.released = time.Time{}, true
 	c.mu.Unlock()
-	if !held {
+	if !active {
 		return
 	}
 	_, err := c.options.Store.Acquire(ctx, c.options.Role, Grant{Nonce: rand.Text()}, granted)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -169,7 +169,7 @@
 			}
 			is.True(later > fence)
 			if !cutOff { // replicas that check no fences are left alone for a lease all the same
-				is.True(candidates[1].PreviousLeaseEnd().Sub(time.Now()) > length/2)
+				is.True(time.Until(candidates[1].PreviousLeaseEnd()) > length/2)
 			}
 			cuts[0] = false
 			time.Sleep(2 * length)
--- a/membership/view.go
+++ b/membership/view.go
@@ -48,9 +48,9 @@
 // Proposal is a change of members that one core holds to be due.
 type Proposal struct {
 	Change
-	// Silence is for how long a majority of the other members must have missed the member that the change removes; 0: they need not be asked.
-	Silence time.Duration
-	Member  config.Member // that is to be removed for its silence
+	// UnresponsiveFor is for how long a majority of the other members must have missed the member that the change removes; 0: they need not be asked.
+	UnresponsiveFor time.Duration
+	Member          config.Member // that is to be removed for its silence
 }
 
 // Next gives the change of members that is due, if any: a member whose place another disk has taken is removed, a joiner that has caught up
@@ -71,8 +71,8 @@
 		return Proposal{}, false
 	}
 	for _, m := range members {
-		if silence, lost := v.isLost(m, members); lost {
-			return Proposal{Change: Change{Action: Remove, Name: m.Name, MemberID: m.ID}, Silence: silence, Member: m}, true
+		if timeout, lost := v.isLost(m, members); lost {
+			return Proposal{Change: Change{Action: Remove, Name: m.Name, MemberID: m.ID}, UnresponsiveFor: timeout, Member: m}, true
 		}
 	}
 	return Proposal{}, false
@@ -95,7 +95,7 @@
 // isLost reports whether a member has been unresponsive for so long that it is to be removed, and for how long that is: one that has a
 // replacement, or one without whom the others bear the tolerated losses, or more losses than with it once all that are lost like it are
 // removed.
-func (v View) isLost(m config.Member, members []config.Member) (silence time.Duration, lost bool) {
+func (v View) isLost(m config.Member, members []config.Member) (timeout time.Duration, lost bool) {
 	unresponsiveFor := v.Liveness.UnresponsiveFor(m)
 	if unresponsiveFor < ReplacementTimeout {
 		return 0, false
--- a/router/relay.go
+++ b/router/relay.go
@@ -245,7 +245,7 @@
 		complete = e.skipRepeated(complete)
 	}
 	for line := range bytes.Lines(complete) {
-		if id, found := eventID(line); found {
+		if id, ok := eventID(line); ok {
 			e.lastID = id
 		}
 	}
@@ -253,9 +253,9 @@
 }
 
 // eventID reads the ID from a line of an event.
-func eventID(line []byte) (id uint64, found bool) {
-	text, found := bytes.CutPrefix(line, []byte("id:"))
-	if !found {
+func eventID(line []byte) (id uint64, ok bool) {
+	text, ok := bytes.CutPrefix(line, []byte("id:"))
+	if !ok {
 		return 0, false
 	}
 	id, err := strconv.ParseUint(string(bytes.TrimSpace(text)), 10, 64)
@@ -267,7 +267,7 @@
 	begin, at := 0, 0 // of the event, and of the line
 	for line := range bytes.Lines(events) {
 		at += len(line)
-		if id, found := eventID(line); found && id > e.skipThrough {
+		if id, ok := eventID(line); ok && id > e.skipThrough {
 			e.skipThrough = 0
 			return events[begin:]
 		}
--- a/sim/orders_test.go
+++ b/sim/orders_test.go
@@ -161,8 +161,8 @@
 	sent   []sentOrder // those that were acknowledged
 	counts map[string]int
 	fault  error
-	// unnamed sends the orders without their keys, as a planted fault.
-	unnamed bool
+	// keyless sends the orders without their keys, as a planted fault.
+	keyless bool
 }
 
 // sentOrder is an acknowledged order, to be sent once more at any later time.
@@ -186,36 +186,36 @@
 	return r.events
 }
 
-// drawn is an order with the subject that it concerns and what each answer means.
-type drawn struct {
+// submission is an order with the subject that it concerns and what each answer means.
+type submission struct {
 	subject string
 	name    string
 	body    any
 	// from and to are the states that the order takes the subject from and to; refused is the code of a refusal in another state.
-	from, to []subject
-	refused  apierror.Code
+	from, to  []subject
+	rejection apierror.Code
 }
 
 // order draws an order under a key of its own.
-func (r *orderRun) order() drawn {
+func (r *orderRun) order() submission {
 	key := fmt.Sprint("order-", r.event())
-	if r.unnamed {
+	if r.keyless {
 		key = ""
 	}
 	name := fmt.Sprint("t", r.draw(3))
 	switch r.draw(4) {
 	case 0:
-		return drawn{name, config.Key, createTenant(key, name), []subject{absent}, []subject{present}, apierror.Exists}
+		return submission{name, config.Key, createTenant(key, name), []subject{absent}, []subject{present}, apierror.Exists}
 	case 1:
-		return drawn{name, config.Key, removeTenant(key, name), []subject{present}, []subject{absent}, apierror.Dangling}
+		return submission{name, config.Key, removeTenant(key, name), []subject{present}, []subject{absent}, apierror.Dangling}
 	case 2:
-		return drawn{"key-" + name, "keys", accessKey(key, name, false), []subject{absent, present}, []subject{present, present}, apierror.Conflict}
+		return submission{"key-" + name, "keys", accessKey(key, name, false), []subject{absent, present}, []subject{present, present}, apierror.Conflict}
 	}
-	return drawn{"key-" + name, "keys", accessKey(key, name, true), []subject{present, revoked}, []subject{revoked, revoked}, apierror.NotFound}
+	return submission{"key-" + name, "keys", accessKey(key, name, true), []subject{present, revoked}, []subject{revoked, revoked}, apierror.NotFound}
 }
 
 // accepted and rejected are what an answer says of the subject's state.
-func (d drawn) accepted(state subject) (subject, bool) {
+func (d submission) accepted(state subject) (subject, bool) {
 	at := slices.Index(d.from, state)
 	if at < 0 {
 		return state, false
@@ -223,7 +223,9 @@
 	return d.to[at], true
 }
 
-func (d drawn) rejected(state subject) (subject, bool) { return state, !slices.Contains(d.from, state) }
+func (d submission) rejected(state subject) (subject, bool) {
+	return state, !slices.Contains(d.from, state)
+}
 
 // submit sends an order until it has a verdict, as operators' tools do, and records it.
 func (r *orderRun) submit() {
@@ -243,7 +245,7 @@
 			r.remember(sentOrder{d.name, d.body, accepted.Version})
 			break
 		}
-		if apierror.Is(err, d.refused) {
+		if apierror.Is(err, d.rejection) {
 			step.End, step.Apply, outcome = r.event(), d.rejected, "refused"
 			break
 		}
@@ -274,9 +276,9 @@
 	accepted, err := r.send(cores[r.draw(len(cores))], order.name, order.body, 2*time.Second)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	refusals := []apierror.Code{apierror.Exists, apierror.Dangling, apierror.Conflict, apierror.NotFound, apierror.KeyReused, apierror.Forgotten}
-	isRefused := slices.ContainsFunc(refusals, func(code apierror.Code) bool { return apierror.Is(err, code) })
-	if isRefused || err == nil && accepted.Version != order.version {
+	rejections := []apierror.Code{apierror.Exists, apierror.Dangling, apierror.Conflict, apierror.NotFound, apierror.KeyReused, apierror.Forgotten}
+	rejected := slices.ContainsFunc(rejections, func(code apierror.Code) bool { return apierror.Is(err, code) })
+	if rejected || err == nil && accepted.Version != order.version {
 		raw, _ := json.Marshal(order.body) // a message always encodes
 		r.fault = errors.Join(r.fault, fmt.Errorf("acknowledged as %d and sent again: %d, %w: %s", order.version, accepted.Version, err, raw))
 	}
@@ -320,7 +322,7 @@
 }
 
 // playOrders runs operators under random faults of the cores.
-func playOrders(t *testing.T, seed uint64, unnamed bool) (r *orderRun, fault error) {
+func playOrders(t *testing.T, seed uint64, keyless bool) (r *orderRun, fault error) {
 	synctest.Test(t, func(t *testing.T) {
 		options := numberedOptions(seed, 3+int(seed%3))
 		options.Proxies = 0
@@ -328,7 +330,7 @@
 		options.ChangeCoreHost = func(_ int, p *daemon.Host) { p.Bootstrapped = founded }
 		f := NewFleet(options)
 		defer f.Stop()
-		r = &orderRun{Fleet: f, random: rand.New(rand.NewPCG(seed, 12)), steps: map[string][]linearizability.Step[subject]{}, counts: map[string]int{}, unnamed: unnamed}
+		r = &orderRun{Fleet: f, random: rand.New(rand.NewPCG(seed, 12)), steps: map[string][]linearizability.Step[subject]{}, counts: map[string]int{}, keyless: keyless}
 		whole := &operators{Fleet: f}
 		r.Until(15*time.Second, "the fleet is whole", whole.isFull)
 		founded = true
--- a/sim/pairwise_cut_test.go
+++ b/sim/pairwise_cut_test.go
@@ -10,13 +10,13 @@
 	"github.com/matryer/is"
 )
 
-// cut is a way in which two cores lose each other while all others hear both.
-type cut struct {
+// partition is a way in which two cores lose each other while all others hear both.
+type partition struct {
 	name     string
 	separate func(f *Fleet, a, b string, apart bool)
 }
 
-var pairwiseCuts = []cut{
+var pairwisePartitions = []partition{
 	{"both ways", func(f *Fleet, a, b string, apart bool) { f.Net.PartitionGroups([]string{a}, []string{b}, apart) }},
 	{"one way", func(f *Fleet, a, b string, apart bool) { f.Net.setPartitioned(a, b, apart) }},
 	{"the other way", func(f *Fleet, a, b string, apart bool) { f.Net.setPartitioned(b, a, apart) }},
@@ -26,23 +26,23 @@
 // missed either. Changes are taken all the while; a further member that is lost right after is borne as ever, and the fleet is whole after it.
 func TestMembersThatCannotHearEachOtherStayMembers(t *testing.T) {
 	t.Parallel()
-	for n, cut := range pairwiseCuts {
+	for n, partition := range pairwisePartitions {
 		for _, cores := range []int{4, 5} {
 			for other := 1; other < cores; other++ {
-				t.Run(fmt.Sprint(cut.name, cores, other), func(t *testing.T) {
+				t.Run(fmt.Sprint(partition.name, cores, other), func(t *testing.T) {
 					t.Parallel()
 					inNumbered(t, numberedOptions(uint64(500+20*n+cores+other), cores), func(is *is.I, f *Fleet) {
 						all := strings.Fields("core-1 core-2 core-3 core-4 core-5")[:cores]
 						f.Until(15*time.Second, "the fleet is whole", func() bool { return members(f.membership()) == strings.Join(all, " ") })
 						f.declare(0, numbered(1, 0, true, "a"))
-						cut.separate(f, CoreIP(0), CoreIP(other), true)
+						partition.separate(f, CoreIP(0), CoreIP(other), true)
 						hearer := 1 + other%(cores-1) // hears both
 						for second := range 20 {
 							time.Sleep(time.Second)
 							is.Equal(f.listed(hearer), all)
 							f.declare(hearer, numbered(uint64(second+2), uint64(second+1), false, fmt.Sprint("p", second)))
 						}
-						cut.separate(f, CoreIP(0), CoreIP(other), false)
+						partition.separate(f, CoreIP(0), CoreIP(other), false)
 						lost := cores - hearer // any
 						if lost == 0 || lost == hearer {
 							lost = other
