--- /dev/null
+++ b/register/rounds.go
@@ -0,0 +1,143 @@
+package register
+
+import (
+	"context"
+
+	"asterridge/apierror"
+)
+
+// acquire prepares a new epoch and adopts the highest revision that a majority has accepted. If that may not be on a majority, it is written
+// before anything else: each version stands upon a committed one.
+func (o *Owner) acquire(ctx context.Context, peers Peers, key string, k *ownedKey) error {
+	epoch := nextEpoch(max(k.highestSeen, o.options.Acceptor.Promised(key)), o.options.MemberID())
+	k.highestSeen = epoch
+	own := o.options.Acceptor.Read(key)
+	newest, committed := own, own.Committed
+	var rejection error
+	promises := 0
+	answers := gather(peers, func(p Peer) (Record, error) { return p.Prepare(ctx, key, epoch, own.Revision) })
+	for promises < peers.majority() {
+		a, more := <-answers
+		if !more {
+			break
+		}
+		if a.err != nil {
+			if k.observe(a.err) {
+				rejection = a.err
+			}
+			continue
+		}
+		promises++
+		if newest.Revision.Less(a.value.Revision) {
+			newest = a.value
+		}
+		if committed.Less(a.value.Committed) {
+			committed = a.value.Committed
+		}
+	}
+	if promises < peers.majority() {
+		if rejection != nil {
+			return rejection
+		}
+		return apierror.New(apierror.NoMajority, "%d of %d promises for %s", promises, peers.majority(), key)
+	}
+	k.epoch, k.revision, k.fields, k.committed = epoch, newest.Revision, newest.Fields.Clone(), committed
+	if IsCommitted(newest.Revision, committed) {
+		return nil
+	}
+	return o.write(ctx, peers, key, k, nil, k.fields)
+}
+
+// observe notes a higher epoch that an error tells of, and reports whether it does.
+func (k *ownedKey) observe(err error) bool {
+	if !apierror.Is(err, apierror.Superseded) {
+		return false
+	}
+	k.highestSeen = max(k.highestSeen, uint64(apierror.Of(err).At))
+	return true
+}
+
+// confirm asks a majority whether this owner's epoch still stands; if not, the register has to be acquired anew. No disk is written.
+func (o *Owner) confirm(ctx context.Context, peers Peers, key string, k *ownedKey) error {
+	epoch := k.epoch
+	answers := gather(peers, func(p Peer) (struct{}, error) { return struct{}{}, p.Confirm(ctx, key, epoch) })
+	confirmed, rejected := 0, 0
+	var rejection error
+	for confirmed < peers.majority() {
+		if rejected > len(peers)-peers.majority() {
+			k.epoch = 0
+			return rejection
+		}
+		a := <-answers // each peer answers, if only by the context's end
+		if a.err == nil {
+			confirmed++
+			continue
+		}
+		if k.observe(a.err) || rejection == nil {
+			rejection = a.err
+		}
+		rejected++
+	}
+	return nil
+}
+
+// write has one version accepted by a majority, and then tells all peers that it is committed. Without a change the adopted content is
+// written under the new epoch.
+func (o *Owner) write(ctx context.Context, peers Peers, key string, k *ownedKey, change, content Fields) error {
+	next := Revision{Epoch: k.epoch, Version: k.revision.Version + 1}
+	if len(change) == 0 {
+		next.Version = k.revision.Version
+	}
+	delta := Change{Key: key, Base: k.revision, Next: next, Fields: change, Committed: k.committed}
+	answers := gather(peers, func(p Peer) (struct{}, error) { return struct{}{}, acceptDelta(ctx, p, delta, content) })
+	accepted := 0
+	var rejection error
+	for accepted < peers.majority() {
+		a, more := <-answers
+		if !more {
+			break
+		}
+		if a.err == nil {
+			accepted++
+			continue
+		}
+		if k.observe(a.err) || rejection == nil {
+			rejection = a.err
+		}
+	}
+	if accepted < peers.majority() {
+		k.epoch = 0
+		return apierror.New(apierror.Undecided, "%d of %d disks have %s version %d: %v", accepted, peers.majority(), key, next.Version, rejection)
+	}
+	k.revision, k.fields, k.committed = next, content, next
+	o.options.Acceptor.Commit(key, next)
+	o.broadcastCommit(peers, key, next)
+	return nil
+}
+
+// acceptDelta has a peer accept a delta, or the full content if it lacks the base.
+func acceptDelta(ctx context.Context, p Peer, delta Change, content Fields) error {
+	err := p.Accept(ctx, delta)
+	if apierror.Is(err, apierror.Behind) {
+		full := delta
+		full.Full, full.Fields = true, content
+		err = p.Accept(ctx, full)
+	}
+	return err
+}
+
+// broadcastCommit tells all peers that a revision is on a majority; nobody waits for it.
+func (o *Owner) broadcastCommit(peers Peers, key string, revision Revision) {
+	for _, p := range peers {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), o.options.Timeout)
+			defer cancel()
+			p.Commit(ctx, key, revision)
+		}()
+	}
+}
+
+// nextEpoch is a member's lowest epoch above another one.
+func nextEpoch(above uint64, member uint32) uint64 {
+	return (above>>MemberBits+1)<<MemberBits | uint64(member)
+}
