--- a/router/router.go
+++ b/router/router.go
@@ -16,7 +16,6 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
-	"math/bits"
 	mathrand "math/rand/v2"
 	"net/http"
 	"sync"
@@ -31,7 +30,6 @@
 	"asterridge/prefixindex"
 	"asterridge/queue"
 	"asterridge/register"
-	"asterridge/rendezvous"
 	"asterridge/rpc"
 	"asterridge/throttle"
 	"asterridge/watch"
@@ -92,19 +90,6 @@
 	stopped         chan struct{}
 }
 
-// lockedRandom is a random source for several goroutines.
-type lockedRandom struct {
-	mu sync.Mutex
-	r  *mathrand.Rand
-}
-
-// backoff draws a backoff.
-func (l *lockedRandom) backoff(rule config.ThrottleRule, attempt int) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return throttle.Backoff(rule, attempt, l.r)
-}
-
 // Sizes of the router's own parts.
 const (
 	// idleReplicaConnections bounds the idle connections that are kept to each replica.
@@ -155,12 +140,6 @@
 	return r
 }
 
-// throttleExtended wakes the queue when a throttle here was extended.
-func (r *Router) throttleExtended(e throttle.Entry) {
-	r.log.Info().Str("scope", e.Scope).Str("id", e.ID).Int64("remaining_ms", e.RemainingMs).Str("reason", e.Reason).Msg("throttle extended")
-	r.queue.WakeAll()
-}
-
 // linkFilters makes the chain that each request goes through, the last filter first. What comes after the attempts is a chain of its own.
 func (r *Router) linkFilters() {
 	filters := []Filter{currencyFilter{r}, identityFilter{r}, pathFilter{r}}
@@ -227,25 +206,6 @@
 	return until != nil && r.view.Load() != nil && time.Now().Before(*until)
 }
 
-// releaseDelay spreads the first releases after a throttle over the proxies: the first by rendezvous rank goes at once, the second a step
-// later, then two, four and so on. If the first is rejected again, the others hear of it before they send (docs/design.md §4.4).
-func (r *Router) releaseDelay(scope string) time.Duration {
-	v := r.view.Load()
-	if v == nil {
-		return 0
-	}
-	own, before := rendezvous.Weight(scope, r.options.Name), 0
-	for _, name := range v.proxies {
-		if rendezvous.Weight(scope, name) > own {
-			before++
-		}
-	}
-	return time.Duration(bits.Len(uint(before))) * turnStep
-}
-
-// turnStep is the time between two steps of release.
-const turnStep = 100 * time.Millisecond
-
 // IsReady is the answer to readiness checks: current, and neither stopping nor draining.
 func (r *Router) IsReady() bool { return r.IsCurrent() && !r.stopping.Load() && !r.draining.Load() }
 
@@ -266,45 +226,6 @@
 // Drain makes the router unready; it goes on serving until Stop.
 func (r *Router) Drain() { r.draining.Store(true) }
 
-// throttle extends a scope's throttle here at once, and has it reported to all (docs/design.md §4.2).
-func (r *Router) throttle(x *Exchange, delay time.Duration, reason, raw string) {
-	rule := r.view.Load().throttleRule
-	limit := time.Duration(rule.CapMs) * time.Millisecond
-	n := throttle.Notice{
-		Scope: x.item.Scope, ID: fmt.Sprintf("%s.%s.%d", r.options.Name, r.runID, r.noticesSent.Add(1)), Raw: raw,
-		RemainingMs: min(delay, limit).Milliseconds(), Reason: reason, Attempt: x.Attempt, Observed: rule.Observe,
-	}
-	r.counts.add("throttles", 1)
-	if !r.throttles.Merge(n, limit) {
-		return // an equal or longer hold stands here, and was told already
-	}
-	r.log.Info().Str("scope", n.Scope).Str("request", x.ID).Int64("delay_ms", n.RemainingMs).Str("reason", reason).Msg("throttle reported")
-	select {
-	case r.throttleReports <- n:
-	default: // a full line means a storm; the local hold stands and others report too
-	}
-}
-
-// reportThrottles reports throttles to the agent. What cannot be reported is tried again while it lasts.
-func (r *Router) reportThrottles(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case n := <-r.throttleReports:
-			until := time.Now().Add(time.Duration(n.RemainingMs) * time.Millisecond)
-			for time.Now().Before(until) && ctx.Err() == nil {
-				n.RemainingMs = time.Until(until).Milliseconds()
-				_, err := rpc.Call[struct{}](ctx, r.rpc, r.options.Agent, "/agent/hold", n)
-				if err == nil {
-					break
-				}
-				_ = rpc.Sleep(ctx, 100*time.Millisecond) // the loop looks at the context
-			}
-		}
-	}
-}
-
 // Handler serves clients, through a go-kit endpoint.
 func (r *Router) Handler() http.Handler {
 	serve := func(ctx context.Context, request any) (any, error) {
@@ -350,36 +271,6 @@
 	}
 }
 
-// running counts the requests that are being served. A request may still come while the end is waited for.
-type running struct {
-	mu    sync.Mutex
-	count int
-	ended chan struct{} // closed at zero, if somebody waits
-}
-
-// add counts a request that comes (1) or goes (-1).
-func (o *running) add(n int) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.count += n; o.count == 0 && o.ended != nil {
-		close(o.ended)
-		o.ended = nil
-	}
-}
-
-// idle gives a channel that is closed when no request is being served.
-func (o *running) idle() <-chan struct{} {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	ended := make(chan struct{})
-	if o.count == 0 {
-		close(ended)
-	} else {
-		o.ended = ended
-	}
-	return ended
-}
-
 // encodeRejection writes an error, with what is known of whether the request was executed.
 func (r *Router) encodeRejection(ctx context.Context, err error, w http.ResponseWriter) {
 	f := apierror.Of(err)
