--- a/config/accepted.go
+++ b/config/accepted.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strings"
 
+	"asterridge/apierror"
 	"asterridge/register"
 )
 
@@ -78,10 +79,20 @@
 	fields register.Fields // of records
 }
 
+// readNumbering reads the field of the present number; the zero one if there is none yet. The error is apierror.Malformed.
+func readNumbering(content register.Fields) (n numbering, err error) {
+	if raw := content[numberField]; raw != nil {
+		err = json.Unmarshal(raw, &n)
+	}
+	return n, apierror.Wrap(err, apierror.Malformed, "register field "+numberField)
+}
+
 // readAccepted reads the memory from a register's content, also in the form of an earlier build.
-func readAccepted(content register.Fields) accepted {
-	a := accepted{fields: register.Fields{}}
-	_ = json.Unmarshal(content[numberField], &a.numbering) // none yet: 0
+func readAccepted(content register.Fields) (a accepted, err error) {
+	a.fields = register.Fields{}
+	if a.numbering, err = readNumbering(content); err != nil {
+		return a, err
+	}
 	for field, raw := range content {
 		if strings.HasPrefix(field, acceptedPrefix) {
 			a.fields[field] = raw
@@ -95,7 +106,7 @@
 	for _, d := range former {
 		a.remember(acceptedRecord{d.Number, fingerprintOf(d.Digest)})
 	}
-	return a
+	return a, nil
 }
 
 // newestField is the field of a newest record.
--- a/config/accepted_test.go
+++ b/config/accepted_test.go
@@ -21,7 +21,7 @@
 // take declares the numbers up to one, and gives the weight of the heaviest change and of all together.
 func (r *declared) takeUpTo(is *is.I, last uint64) (heaviest, sum int) {
 	is.Helper()
-	for n := Number(r.fields) + 1; n <= last; n++ {
+	for n := r.number() + 1; n <= last; n++ {
 		change, err := r.take(small(n))
 		is.NoErr(err)
 		weight := weighMemory(change)
@@ -117,7 +117,7 @@
 			}
 		}
 		r.fields["number"] = json.RawMessage(fmt.Sprintf(`{"number":%d,"digests":[%s]}`, last, strings.Join(digests, ",")))
-		is.Equal(Number(r.fields), last)
+		is.Equal(r.number(), last)
 		for next := last + 1; next < last+3; next++ { // before the first change in the new format, and after it
 			for n := uint64(1); n < next; n++ {
 				change, err := r.take(small(n))
@@ -157,7 +157,7 @@
 			var d NumberedConfig
 			switch roll := random.IntN(10); {
 			case roll < 3:
-				known[operator] = Number(r.fields)
+				known[operator] = r.number()
 				continue
 			case roll < 6 && len(sent) > 0:
 				d = sent[random.IntN(len(sent))]
--- a/config/fuzz_test.go
+++ b/config/fuzz_test.go
@@ -27,8 +27,8 @@
 		if _, err := FromFields(now); err != nil {
 			t.Errorf("what was taken is no configuration: %v", err)
 		}
-		if Number(now) != d.Number {
-			t.Errorf("number %d is there as %d", d.Number, Number(now))
+		if number, err := Number(now); err != nil || number != d.Number {
+			t.Errorf("number %d is there as %d, %v", d.Number, number, err)
 		}
 		Texts(now)
 		if again, err := ApplyNumbered(now, 1, d); err != nil || len(again) > 0 {
--- a/config/numbered.go
+++ b/config/numbered.go
@@ -37,11 +37,10 @@
 	return field == numberField || strings.HasPrefix(field, textPrefix) || strings.HasPrefix(field, acceptedPrefix) || idempotency.IsField(field)
 }
 
-// Number gives the accepted number; 0: the configuration is not numbered.
-func Number(fields register.Fields) uint64 {
-	var n numbering
-	_ = json.Unmarshal(fields[numberField], &n) // none yet: 0
-	return n.Number
+// Number gives the accepted number; 0: the configuration is not numbered. The error is apierror.Malformed if it cannot be read.
+func Number(fields register.Fields) (uint64, error) {
+	n, err := readNumbering(fields)
+	return n.Number, err
 }
 
 // Text is a configured item as it was written.
@@ -79,7 +78,10 @@
 // the present number is new, and of another it is known for sure that it was never accepted, unless it may be older than the memory of the
 // accepted ones: then it is answered without a verdict.
 func ApplyNumbered(now register.Fields, version uint64, d NumberedConfig) (register.Fields, error) {
-	was := readAccepted(now)
+	was, err := readAccepted(now)
+	if err != nil {
+		return nil, err
+	}
 	switch {
 	case d.BasedOn != was.Number && was.has(d):
 		return nil, nil
--- a/config/numbered_test.go
+++ b/config/numbered_test.go
@@ -19,6 +19,15 @@
 	version uint64
 }
 
+// number is the present number; one that cannot be read ends the test.
+func (r *declared) number() uint64 {
+	number, err := Number(r.fields)
+	if err != nil {
+		panic(err)
+	}
+	return number
+}
+
 func (r *declared) take(d NumberedConfig) (register.Fields, error) {
 	change, err := ApplyNumbered(r.fields, r.version, d)
 	if err == nil && len(change) > 0 {
@@ -73,10 +82,10 @@
 func TestFullAndAmendingDeclarations(t *testing.T) {
 	is := is.New(t)
 	r := &declared{fields: register.Fields{}}
-	is.Equal(Number(r.fields), uint64(0))
+	is.Equal(r.number(), uint64(0))
 	_, err := r.take(declaration(3, 0, true, "path/z", "path/a", "pool/p", "limits", "tenant/t", "path/m"))
 	is.NoErr(err)
-	is.Equal(Number(r.fields), uint64(3))
+	is.Equal(r.number(), uint64(3))
 	is.Equal(r.texts(), `limits  {"z":[1.50,{}],"label":"","at":3}
 path z {"z":[1.50,{}],"label":"z","at":3}
 path a {"z":[1.50,{}],"label":"a","at":3}
@@ -88,7 +97,7 @@
 	amendment.Removed = []string{"path/m", "path/never", "tenant/t"}
 	_, err = r.take(amendment)
 	is.NoErr(err)
-	is.Equal(Number(r.fields), uint64(10))
+	is.Equal(r.number(), uint64(10))
 	is.Equal(r.texts(), `limits  {"z":[1.50,{}],"label":"","at":3}
 path z {"z":[1.50,{}],"label":"z","at":3}
 path a {"z":[1.50,{}],"label":"a","at":10}
@@ -173,7 +182,7 @@
 			is.True(apierror.Is(err, apierror.Conflict))
 		}
 		is.Equal(r.texts(), before)
-		is.Equal(Number(r.fields), uint64(9))
+		is.Equal(r.number(), uint64(9))
 		is.Equal(r.version, uint64(2))
 	}
 }
@@ -205,7 +214,7 @@
 	is.True(apierror.Is(changed(put("path/b", Path{Name: "b", Address: "/b/", DeadlineMs: 5, Targets: []Target{{"p", 2}, {"p", -1}}})), apierror.OutOfRange))
 	is.True(apierror.Is(changed(put("tenant/u", Tenant{Name: "u", Keys: []string{"u-key", "t-key"}})), apierror.RepeatField)) // another tenant's key
 	is.Equal(r.texts(), before)
-	is.Equal(Number(r.fields), uint64(1))
+	is.Equal(r.number(), uint64(1))
 	is.NoErr(changed(func(d *NumberedConfig) { // the key goes over to another tenant in one step, and one tenant may name a key twice
 		d.Removed = []string{"tenant/t"}
 		d.Items = Field("tenant/u", Tenant{Name: "u", Keys: []string{"t-key", "t-key"}})
--- a/controlplane/claims.go
+++ b/controlplane/claims.go
@@ -40,7 +40,9 @@
 		expired := register.Fields{}
 		for field, raw := range c.acceptor.Read(key).Fields {
 			var record claim.Record
-			_ = json.Unmarshal(raw, &record) // one that cannot be read expires by its age like the others
+			if json.Unmarshal(raw, &record) != nil {
+				record = claim.Record{State: claim.Unknown} // one that cannot be read expires by its age like the others
+			}
 			id := field + "/" + record.Nonce
 			since, ok := c.claimsSeen[id]
 			if !ok {
--- a/controlplane/config.go
+++ b/controlplane/config.go
@@ -53,7 +53,11 @@
 
 // merge gives the fields of the configuration that the order makes of the present one.
 func (order ConfigChange) merge(present register.Fields, version uint64) (register.Fields, error) {
-	if number := config.Number(present); number > 0 {
+	number, err := config.Number(present)
+	if err != nil {
+		return nil, err
+	}
+	if number > 0 {
 		return nil, apierror.New(apierror.Conflict, "this fleet is declared by numbered configurations, present is %d", number)
 	}
 	base, err := config.FromFields(present)
@@ -101,7 +105,8 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	return config.Number(record.Fields), config.Texts(record.Fields), nil
+	number, err = config.Number(record.Fields)
+	return number, config.Texts(record.Fields), err
 }
 
 // newestConfig gives the configuration's register, no older than at the time of the call.
--- a/controlplane/queries.go
+++ b/controlplane/queries.go
@@ -149,7 +149,9 @@
 			continue
 		}
 		row := router.Row{}
-		_ = json.Unmarshal(raw, &row) // one that cannot be read is shown by its version alone
+		if err := json.Unmarshal(raw, &row); err != nil {
+			row = router.Row{"field": name, "unreadable": err.Error()}
+		}
 		row["version"] = record.Revision.Version
 		rows = append(rows, row)
 	}
--- a/membership/change.go
+++ b/membership/change.go
@@ -57,6 +57,9 @@
 // apierror.Conflict while keys are still transferred, apierror.NotFound, Exists, Behind and OutOfRange.
 func (c Change) Apply(fields register.Fields, view View, now time.Time) (register.Fields, error) {
 	list := Decode(fields)
+	if list.Unreadable != "" {
+		return nil, apierror.New(apierror.Malformed, "the field %s of the members cannot be read", list.Unreadable)
+	}
 	if c.isDone(list) {
 		return nil, nil
 	}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/matryer/is"
 
+	"asterridge/apierror"
 	"asterridge/config"
+	"asterridge/register"
 )
 
 // What may be lost at once: machines, or the largest zones, or the largest regions, whichever is more of the members.
@@ -64,3 +66,13 @@
 	look(tickInterval, true)
 	is.Equal(s.UnresponsiveFor(members[0]), time.Duration(0))
 }
+
+// A list with a field that cannot be read is not changed: keys may be transferred still, or a number be given twice.
+func TestListThatCannotBeReadIsNotChanged(t *testing.T) {
+	is := is.New(t)
+	for _, field := range []string{PreviousField, HighestIDField} {
+		fields := register.Fields{field: []byte(`{"torn`)}
+		_, err := Change{Action: Remove, Name: "a"}.Apply(fields, View{}, time.Now())
+		is.True(apierror.Is(err, apierror.Malformed))
+	}
+}
--- a/membership/record.go
+++ b/membership/record.go
@@ -33,6 +33,8 @@
 	Previous []config.Member
 	// HighestID is the highest ID that any member ever had.
 	HighestID uint32
+	// Unreadable names a field besides the members that cannot be read; empty if all can. Such a list is not changed.
+	Unreadable string
 }
 
 // Decode reads the fields of the members' register. A field that cannot be read counts as absent.
@@ -41,9 +43,13 @@
 		var m config.Member
 		switch {
 		case name == PreviousField:
-			_ = json.Unmarshal(raw, &l.Previous) // absent: the members are then all there is
+			if json.Unmarshal(raw, &l.Previous) != nil {
+				l.Unreadable = name
+			}
 		case name == HighestIDField:
-			_ = json.Unmarshal(raw, &l.HighestID) // absent: the members' own IDs count below in any case
+			if json.Unmarshal(raw, &l.HighestID) != nil {
+				l.Unreadable = name
+			}
 		case json.Unmarshal(raw, &m) == nil:
 			l.Members = append(l.Members, m)
 		}
--- a/register/model_test.go
+++ b/register/model_test.go
@@ -406,7 +406,16 @@
 }
 
 // describe tells records apart; one revision has one content, which check looks after.
-func numberOf(m *member) uint64 { return config.Number(m.acceptor.Read(modelKey).Fields) }
+func numberOf(m *member) uint64 { return numberIn(m.acceptor.Read(modelKey).Fields) }
+
+// numberIn reads the number of a configuration that this test has written; one that cannot be read ends the test.
+func numberIn(fields register.Fields) uint64 {
+	number, err := config.Number(fields)
+	if err != nil {
+		panic(err)
+	}
+	return number
+}
 
 func describe(r register.Record) string { return fmt.Sprint(r.Promised, r.Revision, r.Committed) }
 
@@ -440,8 +449,8 @@
 			now := acceptor.Read(modelKey)
 			shown := now.Revision == revision || revision.Less(now.Revision) && now.IsCommitted() // as a core's read does; it would wait for the rest
 			if c.ends(o, life) && err == nil && shown {
-				done(config.Number(now.Fields), linearizability.Items(config.Texts(now.Fields)))
-				c.note(fmt.Sprint("shows ", config.Number(now.Fields), ": ", o))
+				done(numberIn(now.Fields), linearizability.Items(config.Texts(now.Fields)))
+				c.note(fmt.Sprint("shows ", numberIn(now.Fields), ": ", o))
 			}
 		}()
 		return
--- a/register/orders_test.go
+++ b/register/orders_test.go
@@ -57,9 +57,9 @@
 
 // read gives the present number as a confirmed owner knows it.
 func (w *world) read(core int) (number uint64, isRead bool) {
-	_, err := w.at(core).owner.Change(context.Background(), config.Key, func(now register.Fields, _ uint64) (register.Fields, error) {
-		number = config.Number(now)
-		return nil, nil
+	_, err := w.at(core).owner.Change(context.Background(), config.Key, func(now register.Fields, _ uint64) (_ register.Fields, err error) {
+		number, err = config.Number(now)
+		return nil, err
 	})
 	return number, err == nil
 }
--- a/router/protocol.go
+++ b/router/protocol.go
@@ -189,6 +189,9 @@
 // RetryAfter writes whole seconds, rounded up.
 func (ChatProtocol) RetryAfter(d time.Duration) string { return rpc.RetryAfter(d) }
 
+// unreadableReason is the reason of a rejection whose body cannot be read.
+const unreadableReason = "unreadable"
+
 // Classify reads the status; the body of a rejection has {"error":{"type":…}}.
 func (ChatProtocol) Classify(r *http.Response) Outcome {
 	if r.StatusCode != 429 && r.StatusCode != 503 && r.StatusCode != 412 {
@@ -201,7 +204,9 @@
 			Reason string `json:"message"`
 		} `json:"error"`
 	}
-	_ = json.Unmarshal(raw, &body) // one that cannot be read gives no reason
+	if json.Unmarshal(raw, &body) != nil {
+		body.Error.Type = unreadableReason
+	}
 	v := Outcome{Reason: body.Error.Type}
 	switch {
 	case r.StatusCode == 429:
