--- a/cmd/asterridgectl/order.go
+++ b/cmd/asterridgectl/order.go
@@ -69,7 +69,7 @@
 	return err
 }
 
-// identifyMember adds to a change of the members which member or joiner of that name it means.
+// identifyMember adds to a change of the members which member or joiner of that name it means. The error is apierror.NotFound if there is none.
 func (s *session) identifyMember(change *membership.Change) error {
 	answer, err := call[controlplane.QueryResponse](s, "/query", controlplane.Query{Kind: "members", Where: []controlplane.Condition{
 		{Field: "name", Operator: "=", Value: change.Name},
@@ -87,5 +87,8 @@
 			change.Incarnation = incarnation
 		}
 	}
+	if !change.IsIdempotent() {
+		return apierror.New(apierror.NotFound, "no core %q to %s", change.Name, change.Action)
+	}
 	return nil
 }
