--- a/cmd/asterridgectl/order.go
+++ b/cmd/asterridgectl/order.go
@@ -81,6 +81,7 @@
 		id, isMember := row["id"].(float64) // numbers of JSON
 		incarnation, _ := row["incarnation"].(string)
 		switch {
+		case row["name"] != change.Name:
 		case change.Action == membership.Remove && isMember:
 			change.MemberID = uint32(id)
 		case change.Action == membership.Admit && !isMember:
