--- a/config/numbered.go
+++ b/config/numbered.go
@@ -74,6 +74,22 @@
 	return all
 }
 
+// check reports whether just this declaration was accepted before. The errors are those of a declaration that does not fit:
+// apierror.Undecided, Conflict and OutOfRange.
+func (a accepted) check(d NumberedConfig) (before bool, err error) {
+	switch {
+	case d.BasedOn != a.Number && a.has(d):
+		return true, nil
+	case d.BasedOn != a.Number && a.mayHave(d):
+		return false, apierror.New(apierror.Undecided, "number %d may have been accepted once: only those above %d are remembered", d.Number, a.Forgotten)
+	case d.BasedOn != a.Number:
+		return false, apierror.New(apierror.Conflict, "built on %d, present is %d", d.BasedOn, a.Number)
+	case d.Number <= a.Number:
+		return false, apierror.New(apierror.OutOfRange, "number %d is not above %d", d.Number, a.Number)
+	}
+	return false, nil
+}
+
 // ApplyNumbered gives the change that a declaration makes; none if just this one was accepted before. Numbers only rise, so one that is built on
 // the present number is new, and of another it is known for sure that it was never accepted, unless it may be older than the memory of the
 // accepted ones: then it is answered without a verdict.
@@ -82,15 +98,8 @@
 	if err != nil {
 		return nil, err
 	}
-	switch {
-	case d.BasedOn != was.Number && was.has(d):
-		return nil, nil
-	case d.BasedOn != was.Number && was.mayHave(d):
-		return nil, apierror.New(apierror.Undecided, "number %d may have been accepted once: only those above %d are remembered", d.Number, was.Forgotten)
-	case d.BasedOn != was.Number:
-		return nil, apierror.New(apierror.Conflict, "built on %d, present is %d", d.BasedOn, was.Number)
-	case d.Number <= was.Number:
-		return nil, apierror.New(apierror.OutOfRange, "number %d is not above %d", d.Number, was.Number)
+	if before, err := was.check(d); before || err != nil {
+		return nil, err
 	}
 	made := register.Fields{}
 	next := 0
