Tenants leave the shared cache scope when one of them becomes isolated

Cause: all tenants without isolation had one fixed domain, common@VERSION. Isolation applied to what was sent from then on; which tenants had filled the shared domain was not recorded anywhere.

Change: config.SharedCache records the version that introduced the shared scope, and removed tenants that used it. A new version begins only if a tenant that has used the scope is isolated. It is decided in Config.Inherit, which amendments, whole configurations and the operators' own language all go through, and stands in the configuration's register. Tenants bear a mark that a core of an earlier build drops; without it proxies add the isolated names to the scope.

TestTextsAndNumbersAreNotSentToTheDataPlane lists the new field, which proxies need.

--- a/config/config.go
+++ b/config/config.go
@@ -27,6 +27,8 @@
 	// Keys are the hashes of the access keys declared with the tenant; further keys are granted individually (§2.1).
 	Keys    []string `json:"keys,omitempty"`
 	Urgency *int     `json:"urgency,omitempty"` // overrides the path's urgency
+	// CacheTracked marks a tenant as written by a build that tracks the use of the shared cache scope (SharedCache).
+	CacheTracked bool `json:"cache_tracked,omitempty"`
 }
 
 // Pool kinds.
@@ -114,7 +116,9 @@
 	Paths    map[string]Path
 	Throttle ThrottleRule
 	Limits   Limits
-	Open     bool // declared without tenants: no request needs an access key
+	// SharedCache identifies the cache scope of the tenants that are not isolated.
+	SharedCache SharedCache
+	Open        bool // declared without tenants: no request needs an access key
 }
 
 // Empty returns a configuration with the default throttle rule and nothing else.
@@ -144,6 +148,8 @@
 			err = json.Unmarshal(raw, &c.Throttle)
 		case "limits":
 			err = json.Unmarshal(raw, &c.Limits)
+		case sharedCacheField:
+			err = json.Unmarshal(raw, &c.SharedCache)
 		case "open":
 			c.Open = true
 		}
@@ -164,7 +170,8 @@
 	return nil
 }
 
-// Inherit copies CreatedVersion for tenants that exist in base and sets it to version for new ones.
+// Inherit sets what a configuration takes over from base, which it replaces under the given version: CreatedVersion, which is new for new
+// tenants only, and the shared cache scope.
 func (c *Config) Inherit(base *Config, version uint64) {
 	for name, t := range c.Tenants {
 		t.CreatedVersion = version
@@ -173,6 +180,23 @@
 		}
 		c.Tenants[name] = t
 	}
+	c.inheritSharedCache(base, version)
+}
+
+// DeclaresSame reports whether two configurations differ at most in what is recorded beside their items.
+func (c *Config) DeclaresSame(other *Config) bool {
+	return len(Delta(c.declaration(), other.declaration())) == 0
+}
+
+// declaration returns the register fields without the records of the shared cache scope.
+func (c *Config) declaration() register.Fields {
+	declared := *c
+	declared.SharedCache, declared.Tenants = SharedCache{}, map[string]Tenant{}
+	for name, t := range c.Tenants {
+		t.CacheTracked = false
+		declared.Tenants[name] = t
+	}
+	return declared.Fields()
 }
 
 // Fields encodes the configuration as register fields.
@@ -198,6 +222,9 @@
 	if c.Limits != (Limits{}) {
 		put("limits", c.Limits)
 	}
+	if c.SharedCache.Tracked {
+		put(sharedCacheField, c.SharedCache)
+	}
 	if c.Open {
 		put("open", true)
 	}
--- a/controlplane/config.go
+++ b/controlplane/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 
 	"asterridge/apierror"
 	"asterridge/config"
@@ -37,7 +38,7 @@
 			return nil, err
 		}
 		change := config.Delta(current, fields)
-		switch created := len(fields) > len(current); {
+		switch created := createsItem(current, fields); {
 		case request.NameCondition == mustBeNew && !created && len(current) > 0:
 			return nil, apierror.New(apierror.Exists, "an item with this name already exists")
 		case len(change) == 0:
@@ -51,7 +52,18 @@
 	})
 }
 
-// merge returns the fields of the configuration that results from applying the request to the current one.
+// createsItem reports whether a configuration has an item that the current one lacks. The names of items contain their kind and a slash.
+func createsItem(current, fields register.Fields) bool {
+	for name := range fields {
+		if _, known := current[name]; !known && strings.Contains(name, "/") {
+			return true
+		}
+	}
+	return false
+}
+
+// merge returns the fields of the configuration that results from applying the request to the current one. They are the current ones if
+// the request changes no item.
 func (request ConfigChange) merge(current register.Fields, version uint64) (register.Fields, error) {
 	number, err := config.Number(current)
 	if err != nil {
@@ -72,6 +84,9 @@
 		return nil, err
 	}
 	next.Inherit(base, version+1)
+	if len(current) > 0 && next.DeclaresSame(base) {
+		return current, nil
+	}
 	return next.Fields(), nil
 }
 
--- a/controlplane/messages_test.go
+++ b/controlplane/messages_test.go
@@ -70,6 +70,7 @@
 		{Name: "stored: a load order", Type: config.LoadOrder{}},
 		{Name: "stored: an access key", Type: config.Access{}},
 		{Name: "stored: a tenant", Type: config.Tenant{}},
+		{Name: "stored: the shared cache scope", Type: config.SharedCache{}},
 		{Name: "stored: a pool", Type: config.Pool{}},
 		{Name: "stored: a path", Type: config.Path{}},
 		{Name: "stored: limits", Type: config.Limits{}},
--- a/fake/check_runs.go
+++ b/fake/check_runs.go
@@ -63,17 +63,18 @@
 }
 
 // walls checks rule 8 in both directions: a walled tenant reads only cached blocks that were made for it since it was last created, and
-// nobody else reads those.
+// nobody else reads those that were made for a tenant which is walled now or was when they were made.
 func (c *check) walls(r Run) {
 	for tenant, made := range r.Met {
 		isolated := c.walled(r.Tenant, r.At)
-		if isolated || c.walled(tenant, made) {
+		makerIsolated := c.walled(tenant, made) || c.walled(tenant, r.At)
+		if isolated || makerIsolated {
 			c.seen(ruleForeignCache)
 		}
 		switch {
 		case tenant != r.Tenant && isolated:
 			c.found(ruleForeignCache, "%s of walled %s read what was made for %s", r.Tag, r.Tenant, tenant)
-		case tenant != r.Tenant && c.walled(tenant, made):
+		case tenant != r.Tenant && makerIsolated:
 			c.found(ruleForeignCache, "%s of %s read what was made for walled %s", r.Tag, r.Tenant, tenant)
 		case tenant == r.Tenant && isolated:
 			for _, f := range c.Facts {
--- a/fake/check_test.go
+++ b/fake/check_test.go
@@ -178,6 +178,7 @@
 		{8, "a walled tenant reads another's", one(met("b", 5), wallAt(0, "a", "up"))},
 		{8, "another reads a walled tenant's", one(met("b", 5), wallAt(0, "b", "up"))},
 		{8, "… though its wall is down now", one(met("b", 5), wallAt(0, "b", "up"), wallAt(20, "b", "down"))},
+		{8, "another reads what was made before the wall was put up", one(met("b", 5), wallAt(20, "b", "up"))},
 		{8, "the wall was put up before", one(met("b", 5), wallAt(20, "a", "up"))},
 		{8, "the name was given anew", one(met("a", 5), wallAt(0, "a", "up"), wallAt(10, "a", "removed"), wallAt(20, "a", "up"))},
 		{0, "the wall is down", one(met("b", 25), wallAt(0, "a", "up"), wallAt(20, "a", "down"))},
--- a/prefixindex/blocks.go
+++ b/prefixindex/blocks.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"strconv"
 	"strings"
 )
 
@@ -25,14 +24,9 @@
 	return min(blocks, fineBlocks)*FineSize + max(0, blocks-fineBlocks)*CoarseSize
 }
 
-// Domain returns the cache domain of a request: prompts of different domains share no blocks. An isolated tenant has its own domains, which
-// change when a tenant is created again under the same name.
-func Domain(tenant string, tenantVersion uint64, isolated bool, weights string) string {
-	if isolated {
-		return "tenant:" + tenant + "." + strconv.FormatUint(tenantVersion, 10) + "@" + weights
-	}
-	return "common@" + weights
-}
+// Domain returns the cache domain of a request, from the cache scope of its tenant and the weights that it runs on: prompts of different
+// domains share no blocks.
+func Domain(scope, weights string) string { return scope + "@" + weights }
 
 // Text joins the parts of a prompt in order.
 func Text(parts ...string) string { return strings.Join(parts, "\n") }
--- a/prefixindex/index_test.go
+++ b/prefixindex/index_test.go
@@ -11,14 +11,14 @@
 func TestPromptsShareBlocksWithinADomainUpToTheFirstDifference(t *testing.T) {
 	is := is.New(t)
 	sharedText := strings.Repeat("o", 4*FineSize)
-	first := Blocks(Domain("a", 1, false, "w1"), sharedText+strings.Repeat("x", FineSize))
-	second := Blocks(Domain("b", 1, false, "w1"), sharedText+strings.Repeat("y", FineSize)+"rest")
+	first := Blocks(Domain("shared", "w1"), sharedText+strings.Repeat("x", FineSize))
+	second := Blocks(Domain("shared", "w1"), sharedText+strings.Repeat("y", FineSize)+"rest")
 	is.Equal(len(first), 5)
-	is.Equal(first[:4], second[:4]) // the common domain
+	is.Equal(first[:4], second[:4]) // the same domain
 	is.True(first[4] != second[4])
-	for _, domain := range []string{Domain("a", 1, true, "w1"), Domain("a", 1, false, "w2"), Domain("b", 1, true, "w1"), Domain("a", 2, true, "w1")} {
+	for _, domain := range []string{Domain("shared.1", "w1"), Domain("shared", "w2"), Domain("tenant:a.1", "w1"), Domain("tenant:a.2", "w1")} {
 		for i, block := range Blocks(domain, sharedText) {
-			is.True(block != first[i]) // isolated tenants and other weights share no blocks
+			is.True(block != first[i]) // other scopes and other weights share no blocks
 		}
 	}
 	is.Equal(len(Blocks("d", "short")), 0)
--- a/router/adapter_test.go
+++ b/router/adapter_test.go
@@ -77,7 +77,7 @@
 	is := is.New(t)
 	met := map[string]bool{}
 	for _, on := range []config.Placement{{}, {Adapter: "a", Base: "m1", Build: "1"}, {Adapter: "a", Base: "m1", Build: "2"}, {Adapter: "a", Base: "m2", Build: "1"}, {Adapter: "b", Base: "m1", Build: "1"}} {
-		met[prefixindex.Domain("t", 1, false, domainOf("w1", on))] = true
+		met[prefixindex.Domain("shared", domainOf("w1", on))] = true
 	}
 	is.Equal(len(met), 5)
 	is.Equal(domainOf("w1", config.Placement{}), "w1") // unchanged without an adapter
--- a/router/compile.go
+++ b/router/compile.go
@@ -79,7 +79,9 @@
 		pools:        map[string]*pool{},
 		replicas:     map[string]*replica{},
 		paths:        map[string][]*path{},
-		public:       &tenant{Tenant: config.Tenant{Weight: 1, Backlog: publicBacklog, Scope: "pool"}, index: r.names.of("public")},
+		public: &tenant{
+			Tenant: config.Tenant{Weight: 1, Backlog: publicBacklog, Scope: "pool"}, index: r.names.of("public"), cacheScope: plan.SharedCacheScope(),
+		},
 	}
 }
 
@@ -101,8 +103,12 @@
 
 // compileTenants adds the tenants, and their access keys from the configuration and from the registers.
 func (c *compilation) compileTenants(keys []string) error {
+	sharedScope := c.view.public.cacheScope
 	for name, configured := range c.plan.Tenants {
-		t := &tenant{Tenant: configured, index: c.router.names.of("tenant/" + name)}
+		t := &tenant{Tenant: configured, index: c.router.names.of("tenant/" + name), cacheScope: sharedScope}
+		if configured.Isolated {
+			t.cacheScope = configured.IsolatedCacheScope()
+		}
 		c.view.tenants[name] = t
 		for _, hash := range configured.Keys {
 			c.view.access[hash] = t
--- a/router/placement.go
+++ b/router/placement.go
@@ -118,7 +118,7 @@
 		if !servable || !ready || !r.hasCapacity(rep, now) || now.Before(*rep.coolUntil.Load()) {
 			continue
 		}
-		domain := prefixindex.Domain(x.Tenant.Name, x.Tenant.CreatedVersion, x.Tenant.Isolated, domainOf(weights, on))
+		domain := prefixindex.Domain(x.Tenant.cacheScope, domainOf(weights, on))
 		if domains[domain] == nil {
 			domains[domain] = r.cacheStateOf(x, v, p, domain)
 		}
--- a/router/send.go
+++ b/router/send.go
@@ -26,7 +26,7 @@
 	}
 	v := r.view.Load()
 	t, p, rep := v.tenantOf(x), v.find(x.Request.Host, x.Request.URL.Path, x.Prompt.Model), v.replicas[x.replica.Name]
-	if v != x.View && (t == nil || p == nil || !reflect.DeepEqual(t.Tenant, x.Tenant.Tenant) || !reflect.DeepEqual(p.Path, x.Path.Path)) {
+	if v != x.View && (t == nil || p == nil || !t.isSame(x.Tenant) || !reflect.DeepEqual(p.Path, x.Path.Path)) {
 		return nil, errPickAgain // routed anew, it is sent under the current configuration, or rejected
 	}
 	if until := r.throttles.Until(x.item.Scope); !until.IsZero() {
@@ -50,7 +50,7 @@
 // Handle sends the request to its replica and waits for the first chunk of the answer.
 func (f sendFilter) Handle(_ context.Context, x *Exchange, _ func(context.Context, *Exchange) error) error {
 	r, rep := f.r, x.replica
-	domain := prefixindex.Domain(x.Tenant.Name, x.Tenant.CreatedVersion, x.Tenant.Isolated, domainOf(x.weights, x.placement))
+	domain := prefixindex.Domain(x.Tenant.cacheScope, domainOf(x.weights, x.placement))
 	x.remaining = 0 // the replica was not told a time yet
 	v, err := r.recheck(x)
 	if err != nil {
--- a/router/view.go
+++ b/router/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -33,6 +34,13 @@
 type tenant struct {
 	config.Tenant
 	index int
+	// cacheScope separates the cached prefixes of its requests from those of other tenants.
+	cacheScope string
+}
+
+// isSame reports whether requests of a tenant are handled in the same way as under another view.
+func (t *tenant) isSame(other *tenant) bool {
+	return t.cacheScope == other.cacheScope && reflect.DeepEqual(t.Tenant, other.Tenant)
 }
 
 // path is a configured path with its index and pools.
