Keys stay required when the last tenant is removed

Cause: a numbered configuration was marked as open whenever it had no tenants, so that one whose tenants were all removed was the same as one that never had any.

NumberedConfig.ListsTenants tells whether a text has the list. The stored field "open" keeps its meaning for earlier builds, and their amendments do not override the policy.

Open: configurations emptied under an earlier build, or replaced without tenants by a core of one, stay open.

--- a/config/config.go
+++ b/config/config.go
@@ -13,6 +13,9 @@
 // Key names the register that holds the configuration.
 const Key = "blueprint"
 
+// tenantPrefix is the prefix of the register fields that hold the tenants.
+const tenantPrefix = "tenant/"
+
 // MaxText is the maximum size of an operator's configuration text in bytes.
 const MaxText = 16 << 20
 
@@ -118,14 +121,15 @@
 	Limits   Limits
 	// SharedCache identifies the cache scope of the tenants that are not isolated.
 	SharedCache SharedCache
-	Open        bool // declared without tenants: no request needs an access key
+	KeyPolicy   KeyPolicy
 }
 
-// Empty returns a configuration with the default throttle rule and nothing else.
+// Empty returns a configuration with the default throttle rule and key policy, and nothing else.
 func Empty() *Config {
 	return &Config{
 		Tenants: map[string]Tenant{}, Pools: map[string]Pool{}, Paths: map[string]Path{}, Adapters: map[string]Adapter{},
-		Throttle: ThrottleRule{BaseMs: 1000, CapMs: 64000, Jitter: 1, SlowRatio: 3},
+		Throttle:  ThrottleRule{BaseMs: 1000, CapMs: 64000, Jitter: 1, SlowRatio: 3},
+		KeyPolicy: KeyRequired,
 	}
 }
 
@@ -150,14 +154,17 @@
 			err = json.Unmarshal(raw, &c.Limits)
 		case sharedCacheField:
 			err = json.Unmarshal(raw, &c.SharedCache)
-		case "open":
-			c.Open = true
 		}
 		if err != nil {
 			return nil, apierror.Wrap(err, apierror.Malformed, "register field "+name)
 		}
 	}
-	return c, nil
+	policy, err := storedKeyPolicy(fields)
+	if isEmptiedByEarlierBuild(fields, policy) {
+		c.SharedCache.Tracked = false
+	}
+	c.KeyPolicy = policy
+	return c, err
 }
 
 // load decodes one item and stores it under its name.
@@ -207,7 +214,7 @@
 		fields[name] = raw
 	}
 	for name, t := range c.Tenants {
-		put("tenant/"+name, t)
+		put(tenantPrefix+name, t)
 	}
 	for name, p := range c.Pools {
 		put("pool/"+name, p)
@@ -225,8 +232,11 @@
 	if c.SharedCache.Tracked {
 		put(sharedCacheField, c.SharedCache)
 	}
-	if c.Open {
-		put("open", true)
+	if c.KeyPolicy.Accepts(false) {
+		put(openField, true) // also read by earlier builds
+	}
+	if c.KeyPolicy == KeyOptional {
+		put(keyPolicyField, c.KeyPolicy)
 	}
 	return fields
 }
--- a/config/numbered.go
+++ b/config/numbered.go
@@ -21,6 +21,8 @@
 	Texts   register.Fields `json:"texts"`  // original texts of the items, under the same names
 	Order   []string        `json:"order"`  // names of Texts in the order of the text
 	Removed []string        `json:"removed,omitempty"`
+	// ListsTenants reports whether the text has a list of tenants, which may be empty; nil: sent by a build that does not say.
+	ListsTenants *bool `json:"lists_tenants,omitempty"`
 }
 
 // textPrefix is the prefix of the fields that hold the original texts of items.
@@ -38,6 +40,23 @@
 	return field == numberField || strings.HasPrefix(field, textPrefix) || strings.HasPrefix(field, acceptedPrefix) || idempotency.IsField(field)
 }
 
+// NumberedTexts is a numbered configuration as operators read it.
+type NumberedTexts struct {
+	Number    uint64 // 0: there is none
+	Texts     []Text
+	KeyPolicy KeyPolicy
+}
+
+// DecodeNumbered decodes the numbered configuration from the fields of its register. The error is apierror.Malformed.
+func DecodeNumbered(fields register.Fields) (NumberedTexts, error) {
+	number, err := Number(fields)
+	if err != nil {
+		return NumberedTexts{}, err
+	}
+	policy, err := storedKeyPolicy(fields)
+	return NumberedTexts{Number: number, Texts: Texts(fields), KeyPolicy: policy}, err
+}
+
 // Number returns the current accepted number, or 0 if the configuration is not numbered. The error is apierror.Malformed.
 func Number(fields register.Fields) (uint64, error) {
 	n, err := readNumbering(fields)
@@ -102,6 +121,36 @@
 	if alreadyAccepted, err := history.check(d); alreadyAccepted || err != nil {
 		return nil, err
 	}
+	result := d.mergeInto(current)
+	history.Number = d.Number
+	history.record(acceptedRecord{d.Number, d.fingerprint()})
+	result[numberField], _ = json.Marshal(history.numbering) // a plain struct always encodes
+	result.Apply(history.fields)
+	config, err := FromFields(result)
+	if err == nil {
+		err = config.Check()
+	}
+	if err != nil {
+		return nil, err
+	}
+	base, err := FromFields(current)
+	if err != nil {
+		return nil, err
+	}
+	config.Inherit(base, version+1)
+	config.KeyPolicy = config.keyPolicyAfter(base, len(current) == 0, d)
+	delete(result, openField)
+	delete(result, keyPolicyField)
+	result.Apply(config.Fields())
+	if config.KeyPolicy != KeyIgnored {
+		result.Apply(Field(keyPolicyField, config.KeyPolicy))
+	}
+	return Delta(current, result), nil
+}
+
+// mergeInto returns the fields that result from the declaration's items and texts on top of the current ones, without the history of accepted
+// numbers. A full declaration keeps only what the operators' texts do not declare.
+func (d NumberedConfig) mergeInto(current register.Fields) register.Fields {
 	result := register.Fields{}
 	nextPosition := 0
 	for field, raw := range current {
@@ -129,24 +178,5 @@
 		}
 		result[textPrefix+name], _ = json.Marshal(t) // valid JSON input always encodes
 	}
-	history.Number = d.Number
-	history.record(acceptedRecord{d.Number, d.fingerprint()})
-	result[numberField], _ = json.Marshal(history.numbering) // a plain struct always encodes
-	result.Apply(history.fields)
-	config, err := FromFields(result)
-	if err == nil {
-		err = config.Check()
-	}
-	if err != nil {
-		return nil, err
-	}
-	base, err := FromFields(current)
-	if err != nil {
-		return nil, err
-	}
-	config.Inherit(base, version+1)
-	config.Open = len(config.Tenants) == 0
-	delete(result, "open")
-	result.Apply(config.Fields())
-	return Delta(current, result), nil
+	return result
 }
--- a/config/numbered_test.go
+++ b/config/numbered_test.go
@@ -118,7 +118,7 @@
 	is.Equal([]int{len(b.Paths), len(b.Pools), len(b.Tenants), b.Limits.BodyBytes}, []int{0, 1, 0, 0})
 }
 
-// Only declared items and the shared cache scope are sent to the data plane; original texts and numbers stay in the cores.
+// Only declared items, the shared cache scope and the key policy are sent to the data plane; original texts and numbers stay in the cores.
 func TestTextsAndNumbersAreNotSentToTheDataPlane(t *testing.T) {
 	is := is.New(t)
 	r := &testRegister{fields: register.Fields{}}
@@ -131,7 +131,7 @@
 		}
 	}
 	slices.Sort(open)
-	is.Equal(open, []string{"hold", "limits", "path/a", "pool/p", "shared_cache", "tenant/t"})
+	is.Equal(open, []string{"hold", "key_policy", "limits", "path/a", "pool/p", "shared_cache", "tenant/t"})
 }
 
 // A change contains only the fields that differ, and a full declaration keeps the throttle rule.
--- a/controlplane/config.go
+++ b/controlplane/config.go
@@ -114,16 +114,15 @@
 
 // ReadConfig returns the newest accepted configuration, at least as new as any accepted before the call. It fails if no majority
 // confirms that it is the newest.
-func (c *Core) ReadConfig(ctx context.Context) (number uint64, texts []config.Text, err error) {
+func (c *Core) ReadConfig(ctx context.Context) (config.NumberedTexts, error) {
 	record, err := c.newestConfig(ctx)
 	if err != nil { // the read above may acquire ownership of the register, which needs writes to a majority of disks
 		record, err = c.quorumRead(ctx, config.Key)
 	}
 	if err != nil {
-		return 0, nil, err
+		return config.NumberedTexts{}, err
 	}
-	number, err = config.Number(record.Fields)
-	return number, config.Texts(record.Fields), err
+	return config.DecodeNumbered(record.Fields)
 }
 
 // newestConfig returns the configuration register, at least as new as at the time of the call.
--- a/router/compile.go
+++ b/router/compile.go
@@ -73,7 +73,7 @@
 		Version:      revision,
 		throttleRule: plan.Throttle,
 		limits:       plan.Limits,
-		open:         plan.Open,
+		keyPolicy:    plan.KeyPolicy,
 		tenants:      map[string]*tenant{},
 		access:       map[string]*tenant{},
 		pools:        map[string]*pool{},
--- a/router/filters.go
+++ b/router/filters.go
@@ -120,7 +120,7 @@
 	if t := v.access[x.Access]; t != nil {
 		return t
 	}
-	if v.open || v.isPublic(x.Request.Host, x.Request.URL.Path, x.Prompt.Model) {
+	if v.keyPolicy.Accepts(x.Access != noSecret) || v.isPublic(x.Request.Host, x.Request.URL.Path, x.Prompt.Model) {
 		return v.public
 	}
 	return nil
--- a/router/updates.go
+++ b/router/updates.go
@@ -45,7 +45,7 @@
 		r.balancer.setReplicas(len(v.replicas))
 		r.budget.share(r.options.RetrySlack, len(v.proxies))
 		r.log.Info().Uint64("version", v.Version.Version).Int("replicas", len(v.replicas)).Str("shared_scope", v.public.cacheScope).
-			Msg("routing view updated")
+			Str("key_policy", string(v.keyPolicy)).Msg("routing view updated")
 	}
 	r.applyReports(f.Read(ReportsKey).Fields)
 	r.queue.WakeAll()
--- a/router/view.go
+++ b/router/view.go
@@ -23,7 +23,7 @@
 	stores       []*replica // stores, which cache prompts for replicas
 	models       map[string]config.Model
 	public       *tenant // tenant of requests that need no access key
-	open         bool    // a numbered configuration without tenants: no request needs an access key
+	keyPolicy    config.KeyPolicy
 	throttleRule config.ThrottleRule
 	limits       config.Limits
 	proxies      []string
--- a/sim/catchup_test.go
+++ b/sim/catchup_test.go
@@ -65,8 +65,8 @@
 	defer stop()
 	before := o.accepted.Load()
 	asked := o.fleet.core(core)
-	number, _, err := asked.ReadConfig(short)
-	is.True(err != nil || number >= before)
+	stored, err := asked.ReadConfig(short)
+	is.True(err != nil || stored.Number >= before)
 	return err == nil && isReady(o.fleet, core)
 }
 
--- a/sim/membership_test.go
+++ b/sim/membership_test.go
@@ -133,12 +133,12 @@
 func (f *Fleet) declared(core int) (uint64, []string, error) {
 	short, stop := context.WithTimeout(context.Background(), 5*time.Second)
 	defer stop()
-	number, texts, err := f.core(core).ReadConfig(short)
+	stored, err := f.core(core).ReadConfig(short)
 	var names []string
-	for _, t := range texts {
+	for _, t := range stored.Texts {
 		names = append(names, t.Name)
 	}
-	return number, names, err
+	return stored.Number, names, err
 }
 
 // serves says whether all proxies have just the paths that are served: who has one says that no replica is there for it.
--- a/sim/operators_test.go
+++ b/sim/operators_test.go
@@ -85,15 +85,15 @@
 	done := o.history.Read()
 	short, stop := context.WithTimeout(context.Background(), 3*time.Second)
 	defer stop()
-	number, texts, err := core.ReadConfig(short)
+	stored, err := core.ReadConfig(short)
 	if now, isServing := o.serving(i); !isServing || now != core {
 		return 0, errDead
 	}
 	if err == nil {
-		done(number, linearizability.Items(texts))
-		o.saw(number)
+		done(stored.Number, linearizability.Items(stored.Texts))
+		o.saw(stored.Number)
 	}
-	return number, err
+	return stored.Number, err
 }
 
 // made is a declaration of its sender's own, on top of the newest number that is known, seldom on one before it.
--- a/sim/placement_test.go
+++ b/sim/placement_test.go
@@ -119,7 +119,7 @@
 // configure publishes one pool with all engines, and a path with a latency target.
 func (f *placementFleet) configure() {
 	plan := config.Empty()
-	plan.Open = true
+	plan.KeyPolicy = config.KeyIgnored
 	plan.Pools["pool"] = config.Pool{Name: "pool", Kind: config.ModelPool}
 	plan.Paths["path"] = config.Path{Name: "path", Address: chatAddress, Pool: "pool", DeadlineMs: 10000, LatencyTargetMs: 1000, Cost: 1, MaxBody: 1000}
 	replicas := register.Fields{}
