Test: a change of a known tenant is taken on stored data of an earlier build

The first configuration that this build writes on such data has a field that is no item. With the number of fields in place of the items' names, as before, the added order fails with 307 (not found); applyConfig tells new items by their names since then.

--- a/sim/stored_data_test.go
+++ b/sim/stored_data_test.go
@@ -186,6 +186,8 @@
 			is.Equal(names, []string{"core-1", "core-2", "core-3", "core-5"})
 			f.Until(10*time.Second, "the retirement is known", func() bool { return f.phase("ridge-1") == "retired" })
 			is.True(f.claims(0)+f.claims(1)+f.claims(2) > 0)
+			must(f.Order(0, config.Key, controlplane.ConfigChange{ // a field that this build adds is not taken for a new tenant
+				Text: json.RawMessage(`{"tenants":[{"name":"a","backlog":901}]}`), Partial: true, NameCondition: "known"}))
 			must(f.merge(`{"tenants":[{"name":"a","backlog":900}]}`)) // and they take changes
 		})
 	})
