soak: signals for lives that start while others are awaited are no race

Cause: a process that starts again gets the signals that are meant for it (run.started), which adds to a sync.WaitGroup; at the end of the script the run waits on the same group. The first addition to an empty group must not come beside Wait. The trace has both sides: the write in Play at play's Wait, the read in started, called by supervise.

Change: a type of the soak's own, tasks, which allows that. Play waits once more when no new life is told of any more, so that such signals have been sent before the fleet is checked. What is checked stays.

--- a/soak/run.go
+++ b/soak/run.go
@@ -39,7 +39,7 @@
 	fleet    *Fleet
 	operator *operator
 	armed    armed
-	pending  sync.WaitGroup // signals that are yet to be sent
+	pending  tasks // signals that are yet to be sent
 }
 
 const (
@@ -63,6 +63,7 @@
 	fleet.setOnStart(r.started)
 	r.play()
 	fleet.setOnStart(nil)
+	r.pending.Wait() // signals for lives that have started since the run waited for the others
 	check := newCheck(fleet, plan)
 	check.inspectIdle(result.Peaks)
 	check.stuck(fleet.Stop())
