New weights of one model keep the other models of a replica served

Cause: the router kept one version a replica, from the answers of whatever model, and expected it of every model. In the cores, the one record a replica of what was loaded hid the other model's load while the list lagged: 63 reservations for 20 loads.

Change: versions are kept for each model of a replica, in the router and in the loader.

--- a/controlplane/model_loader.go
+++ b/controlplane/model_loader.go
@@ -53,6 +53,9 @@
 	// reservedAt is when this holder first saw a reservation; orderedAt is when the replica was last ordered to load.
 	reservedAt map[string]time.Time
 	orderedAt  map[string]time.Time
+	// reported has the versions that replicas reported to this process, by model. The platform's list lags behind them, and a replica's
+	// record of what was loaded holds one model only.
+	reported map[string]map[string]uint64
 }
 
 func newModelLoader(c *Core) *modelLoader {
@@ -63,6 +66,7 @@
 		retryAfter:      map[string]time.Time{},
 		reservedAt:      map[string]time.Time{},
 		orderedAt:       map[string]time.Time{},
+		reported:        map[string]map[string]uint64{},
 	}
 }
 
@@ -205,6 +209,7 @@
 	if err != nil || busy {
 		return 0, 0
 	}
+	l.recordReport(name, models)
 	if version := models[load.order.Model]; version >= load.order.Version {
 		l.forget(name)
 		return version, 0
@@ -219,6 +224,34 @@
 	return 0, 0
 }
 
+// recordReport stores the versions that a replica reported.
+func (l *modelLoader) recordReport(name string, models map[string]uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reported[name] = models
+}
+
+// withReports returns the replicas with the versions that they reported to this process where those are newer than the listed ones. The
+// reports of replicas that are no longer listed are forgotten.
+func (l *modelLoader) withReports(replicas map[string]config.Replica) map[string]config.Replica {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.reported, func(name string, _ map[string]uint64) bool {
+		_, listed := replicas[name]
+		return !listed
+	})
+	for name, models := range l.reported {
+		replica := replicas[name]
+		newest := maps.Clone(models)
+		for model, version := range replica.Models {
+			newest[model] = max(newest[model], version)
+		}
+		replica.Models = newest
+		replicas[name] = replica
+	}
+	return replicas
+}
+
 // order orders a replica to load, if the lease is still held under this fencing token or a later one.
 func (l *modelLoader) order(ctx context.Context, load pendingLoad, fence uint64) {
 	now, held := l.candidate.Held()
@@ -274,6 +307,7 @@
 			delete(orders, name)
 		}
 	}
+	replicas = l.withReports(replicas)
 	poolSizes := map[string]int{}
 	for _, name := range slices.Sorted(maps.Keys(replicas)) {
 		replica := replicas[name]
--- a/router/compile.go
+++ b/router/compile.go
@@ -228,12 +228,15 @@
 func (c *compilation) newReplica(name string, configured config.Replica, orders map[string]config.LoadOrder) *replica {
 	rep := &replica{Replica: configured, load: newLoad(), index: c.router.names.of("replica/" + name)}
 	rep.share = share(configured.Limit, c.view.proxies, c.router.options.Name, name)
-	if order, ok := orders[name]; ok {
-		rep.order = &order
-	}
 	if c.previous != nil && c.previous.replicas[name] != nil && c.previous.replicas[name].Address == configured.Address {
 		rep.load = c.previous.replicas[name].load
 	}
+	if order, ok := orders[name]; ok {
+		rep.order = &order
+		if order.Done { // the order for the replica's next model replaces this one
+			rep.observeModelVersion(order.Model, order.Version)
+		}
+	}
 	return rep
 }
 
--- a/router/load.go
+++ b/router/load.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"sync/atomic"
 	"time"
 )
@@ -17,11 +18,11 @@
 	pending atomic.Int64
 	// rateBits is the observed prefill rate, a float64 in units per millisecond; zero: not observed yet.
 	rateBits atomic.Uint64
-	// report is the last report, occupancy the last load received in a response, seenVersion the highest model version
-	// received in one.
-	report      atomic.Pointer[report]
-	occupancy   atomic.Pointer[Occupancy]
-	seenVersion atomic.Uint64
+	// report is the last report, occupancy the last load received in a response.
+	report    atomic.Pointer[report]
+	occupancy atomic.Pointer[Occupancy]
+	// modelVersions has the highest version of each model that the replica is known to have had. The map is never modified, only replaced.
+	modelVersions atomic.Pointer[map[string]uint64]
 }
 
 // Occupancy is a replica's load as it reports it in a response.
@@ -37,6 +38,32 @@
 	return l
 }
 
+// observeModelVersion records that the replica has a version of a model. Each model has versions of its own.
+func (l *load) observeModelVersion(model string, version uint64) {
+	for {
+		known := l.modelVersions.Load()
+		if version <= l.modelVersion(model) {
+			return
+		}
+		next := map[string]uint64{}
+		if known != nil {
+			maps.Copy(next, *known)
+		}
+		next[model] = version
+		if l.modelVersions.CompareAndSwap(known, &next) {
+			return
+		}
+	}
+}
+
+// modelVersion returns the highest version of a model that the replica is known to have had; 0 if none is known.
+func (l *load) modelVersion(model string) uint64 {
+	if known := l.modelVersions.Load(); known != nil {
+		return (*known)[model]
+	}
+	return 0
+}
+
 // Report is a replica's report on itself. Number increases with each report of a run of the process.
 type Report struct {
 	Run     string  `json:"run"`
--- a/router/send.go
+++ b/router/send.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -120,14 +121,14 @@
 // highestStatus is the highest HTTP status.
 const highestStatus = 599
 
-// observeResponse records what a response's header says about its replica: its occupancy and its model version.
+// observeResponse records what a response's header says about its replica: its occupancy, and its version of the request's model.
 func (r *Router) observeResponse(x *Exchange, answer *http.Response) {
 	if seen, reported := r.options.Protocol.Occupancy(answer); reported {
 		seen.at = time.Now()
 		x.replica.occupied(&seen)
 	}
-	if version := r.options.Protocol.ModelVersion(answer); version > x.replica.seenVersion.Load() {
-		x.replica.seenVersion.Store(version)
+	if model := x.Prompt.Model; slices.Contains(x.Pool.Models, model) {
+		x.replica.observeModelVersion(model, r.options.Protocol.ModelVersion(answer))
 	}
 }
 
--- a/router/view.go
+++ b/router/view.go
@@ -89,11 +89,7 @@
 
 // version returns the newest version of a model that the replica is known to have. Versions never decrease within a replica's incarnation.
 func (rep *replica) version(model string) uint64 {
-	version := max(1, rep.Models[model], rep.seenVersion.Load())
-	if rep.order != nil && rep.order.Done && rep.order.Model == model {
-		version = max(version, rep.order.Version)
-	}
-	return version
+	return max(1, rep.Models[model], rep.modelVersion(model))
 }
 
 // Properties of objects that the configuration does not list.
--- a/sim/reservations_test.go
+++ b/sim/reservations_test.go
@@ -74,3 +74,30 @@
 		is.Equal(changes, 0)
 	})
 }
+
+// Guards against a replica that is taken out of service again for a version that it has: the record of one model's load was replaced by
+// that of the other model's, and the platform's list still shows the former version.
+func TestLoadOfAnotherModelReservesNothingTwice(t *testing.T) {
+	t.Parallel()
+	const size = 10
+	b := newBackends()
+	b.add("pool", size, "m", "n")
+	rollout(t, 228, b, pools(1, config.Pool{Name: "pool", Kind: "model", Models: []string{"m", "n"}}), func(is *is.I, f *Fleet, watcher *watch.Client) {
+		opened, before := 0, map[string]config.LoadOrder{}
+		stop := poll(func() {
+			now := reservations(watcher)
+			for name, order := range now {
+				if before[name] != order {
+					opened++
+				}
+			}
+			before = now
+		})
+		f.nameVersion(0, "m", 2)
+		f.nameVersion(0, "n", 2)
+		f.Until(time.Minute, "all have both", func() bool { return b.has("m", 2) && b.has("n", 2) })
+		time.Sleep(2 * listLag)
+		stop()
+		is.Equal(opened, 2*size)
+	})
+}
