Routes whose hosts differ in case alone are the same place, and rejected

Callers saw: a configuration with two routes for a.example and A.example and one prefix was taken; requests matched both, and which one they got hung on the routes' names. RULES: two routes that share host and prefix are invalid.

Cause: the check compared hosts as written, the router matches them in lower case. It is not shown to be the users' case.

Test: TestHostInAnotherCaseIsTheSameHost [config], false != true before. A stored configuration that has such a pair is read and served as before; the next change of it has to remove one.

--- a/config/config.go
+++ b/config/config.go
@@ -290,7 +290,7 @@
 		if p.Address == "" {
 			return reject(apierror.Missing, "address", "a path needs an address")
 		}
-		match := p.Host + " " + p.Address + " " + p.Model
+		match := strings.ToLower(p.Host) + " " + p.Address + " " + p.Model // host names have no case
 		if other, taken := pathsByMatch[match]; taken {
 			return reject(apierror.RepeatField, "address", "path %q has the same host, address and model", other)
 		}
--- a/config/numbered_test.go
+++ b/config/numbered_test.go
@@ -243,3 +243,15 @@
 	apply(declaration(5, 4, false, "tenant/t"))
 	is.Equal([]uint64{createdVersion("t"), createdVersion("u")}, []uint64{11, 8})
 }
+
+// Guards against two routes for the same requests whose hosts differ in case alone: requests match hosts without regard to case.
+func TestHostInAnotherCaseIsTheSameHost(t *testing.T) {
+	is := is.New(t)
+	c := Empty()
+	c.Pools["p"] = Pool{Name: "p", Kind: WebPool}
+	c.Paths["a"] = Path{Name: "a", Host: "a.example", Address: "/a/", Pool: "p", DeadlineMs: 5}
+	for host, rejected := range map[string]bool{"a.example": true, "A.example": true, "a.EXAMPLE": true, "b.example": false, "": false} {
+		c.Paths["b"] = Path{Name: "b", Host: host, Address: "/a/", Pool: "p", DeadlineMs: 5}
+		is.Equal(apierror.Is(c.Check(), apierror.RepeatField), rejected)
+	}
+}
