A core or agent without a majority of its list looks for the present members

Cause: who learned the list of members asked only those on the list it had, and the first answer counted for good: a returned core kept to the list on its disk, agents and empty cores to that of the first seed that answered, agents that were suspended meanwhile to their own. A restarted core's hello named its list without the version.

Change: while no majority of its list answers, a core or agent asks its seeds and 8 nodes known through gossip, once a second, and takes the settled list with the highest version. A core that this list leaves out takes it and asks to be admitted.

Why it works: the next list is accepted by a majority of the one before, so a group in contact has a member that knows the next list, or has no majority and goes on searching.

Cost: nothing while a majority answers; else up to 14 small calls a second for each process.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -70,6 +70,10 @@
 	// members is the active membership; previousMembers is its predecessor, set only while keys are being transferred from it.
 	members         []config.Member
 	previousMembers []config.Member
+	// membersRecord is the register content that members were decoded from; nil if they were named without it. Its version never decreases.
+	membersRecord *membership.Record
+	// searchedAt is when a majority of the members was last fresh, or the last search for a newer list began.
+	searchedAt time.Time
 	// cores holds the watch clients of the members, by address.
 	cores map[string]*watch.Client
 	// applied is the revision of each register that was sent to the proxy; it never decreases.
--- a/agent/currency.go
+++ b/agent/currency.go
@@ -213,9 +213,7 @@
 	a.proxyUpdates.Publish(key, committed, committed, state.Fields, true)
 	a.host.Log.Info().Str("key", key).Uint64("epoch", committed.Epoch).Uint64("version", committed.Version).Msg("register applied")
 	if key == config.MembersKey {
-		list := membership.Decode(state.Fields)
-		a.members, a.previousMembers = list.Members, list.Previous
-		a.recordCores()
+		a.applyMembership(&membership.Record{Revision: committed, Fields: state.Fields})
 	}
 	return newest
 }
--- a/agent/discovery.go
+++ b/agent/discovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 	"time"
 
 	"asterridge/config"
@@ -20,48 +21,117 @@
 func (a *Agent) handleHello(context.Context, protocol.Hello) (protocol.Hello, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return protocol.Hello{Name: a.host.Name, Role: agentRole, Address: a.host.Address, Zone: a.host.Zone, Members: a.members}, nil
+	return protocol.Hello{
+		Name: a.host.Name, Role: agentRole, Address: a.host.Address, Zone: a.host.Zone, Members: a.members, MembersRecord: a.membersRecord,
+	}, nil
 }
 
-// discoverCores asks the seed addresses for the members until some are known, and then maintains a watch for each member.
+// discoverCores asks the seed addresses for the members until some are known, and maintains a watch for each member. While no majority of
+// the members answers, it keeps searching for a newer list: all of them may have been replaced while this agent was suspended or
+// partitioned, or the seed that named them may have been outdated.
 func (a *Agent) discoverCores(ctx context.Context) {
+	if a.searchDue(time.Now()) {
+		a.searchMembers(ctx)
+	}
+	a.watchCores(ctx)
+}
+
+// searchDue reports whether to search for members now, and records that a search begins.
+func (a *Agent) searchDue(now time.Time) bool {
 	a.mu.Lock()
-	known := a.members
-	a.mu.Unlock()
-	if len(known) > 0 {
-		a.watchCores(ctx, known)
-		return
+	defer a.mu.Unlock()
+	if len(a.members) == 0 {
+		return true
+	}
+	if now.Before(a.quorumFreshUntil()) {
+		a.searchedAt = now // the first search follows the loss of the majority by an interval
+		return false
 	}
-	for _, seed := range a.seedAddresses() {
-		if hello, err := a.sayHello(ctx, seed); err == nil && len(hello.Members) > 0 {
-			a.watchCores(ctx, hello.Members)
-			return
+	if now.Sub(a.searchedAt) < protocol.SearchInterval {
+		return false
+	}
+	a.searchedAt = now
+	return true
+}
+
+// searchMembers asks all seed addresses concurrently, and adopts each list that is newer than the known one. It returns once all have
+// answered, or a majority may be reachable because an answer named the first list.
+func (a *Agent) searchMembers(ctx context.Context) {
+	addresses := a.seedAddresses()
+	answers := make(chan protocol.Hello, len(addresses))
+	var pending sync.WaitGroup
+	for _, address := range addresses {
+		pending.Go(func() {
+			if hello, err := a.sayHello(ctx, address); err == nil {
+				answers <- hello
+			}
+		})
+	}
+	go func() {
+		pending.Wait()
+		close(answers)
+	}()
+	for hello := range answers {
+		if a.adoptMembers(hello) {
+			a.watchCores(ctx)
 		}
 	}
 }
 
+// adoptMembers takes over the members that a hello names if none are known, or if the hello's list is newer than the known one. A list
+// without its record has no version; earlier builds of agents send such lists.
+func (a *Agent) adoptMembers(hello protocol.Hello) (adopted bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(hello.Members) == 0 || len(a.members) > 0 && hello.MembersRecord.Version() <= a.membersRecord.Version() {
+		return false
+	}
+	if len(a.members) > 0 {
+		a.host.Log.Warn().Uint64("known_version", a.membersRecord.Version()).Uint64("version", hello.MembersRecord.Version()).
+			Msg("cores were replaced while this agent did not hear them")
+	}
+	if hello.MembersRecord == nil {
+		a.members = hello.Members
+		return true
+	}
+	a.applyMembership(hello.MembersRecord)
+	return true
+}
+
+// applyMembership replaces the members by those of a committed list, unless a newer list is known. The caller holds a.mu.
+func (a *Agent) applyMembership(record *membership.Record) {
+	if record.Version() < a.membersRecord.Version() {
+		return
+	}
+	list := membership.Decode(record.Fields)
+	a.members, a.previousMembers, a.membersRecord = list.Members, list.Previous, record
+	a.recordCores()
+}
+
 func (a *Agent) sayHello(ctx context.Context, address string) (protocol.Hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, protocol.HelloTimeout)
 	defer cancel()
 	return rpc.Call[protocol.Hello](ctx, a.rpc, address, "/core/hello", protocol.Hello{})
 }
 
-// seedAddresses returns the addresses to ask for the members: the configured seeds, the nodes known from gossip, and the cores that an
-// earlier run of this agent recorded on disk.
+// seedAddresses returns the addresses to ask for the members: the configured seeds, some of the nodes known from gossip, and the cores
+// that an earlier run of this agent recorded on disk.
 func (a *Agent) seedAddresses() []string {
-	addresses := slices.Clone(a.host.Seeds)
-	for _, node := range a.detector.Nodes()[1:] {
-		addresses = append(addresses, node.Address)
-	}
+	addresses := slices.Concat(a.host.Seeds, a.detector.SampleAddresses(protocol.SearchSample), a.recordedCores())
+	slices.Sort(addresses)
+	return slices.Compact(addresses)
+}
+
+// recordedCores returns the addresses of the cores as last recorded on disk; none if there is no disk or no readable record.
+func (a *Agent) recordedCores() (recorded []string) {
 	if a.disk == nil {
-		return addresses
+		return nil
 	}
-	var recorded []string
 	raw, err := a.disk.Get(protocol.IdentityFolder, coresFile)
-	if err == nil && json.Unmarshal(raw, &recorded) == nil {
-		addresses = append(addresses, recorded...)
+	if err != nil || json.Unmarshal(raw, &recorded) != nil {
+		return nil
 	}
-	return addresses
+	return recorded
 }
 
 // recordCores stores the addresses of the cores on disk in the background. The caller holds a.mu.
@@ -82,12 +152,9 @@
 }
 
 // watchCores maintains one watch for each member of the active and the previous list, and stops the watches of all others.
-func (a *Agent) watchCores(ctx context.Context, members []config.Member) {
+func (a *Agent) watchCores(ctx context.Context) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(a.members) == 0 {
-		a.members = members
-	}
 	for address, core := range a.cores {
 		if !containsAddress(a.members, address) && !containsAddress(a.previousMembers, address) {
 			core.Stop()
--- a/controlplane/bootstrap.go
+++ b/controlplane/bootstrap.go
@@ -54,15 +54,19 @@
 }
 
 // runBootstrap finds the members, or creates the first list together with the other bootstrap peers. While this core knows the members
-// and is not one of them, it asks to be admitted.
+// and is not one of them, it asks to be admitted. While it is in contact with no majority of the members that it knows, it also searches
+// for a newer list.
 func (c *Core) runBootstrap(ctx context.Context) {
 	logged := false
+	search := memberSearch{core: c}
 	rpc.Every(ctx, protocol.HelloInterval, func() {
 		current := c.membership()
-		switch {
-		case len(current.members) == 0:
+		if len(current.members) == 0 {
 			c.bootstrap(ctx)
-		case current.self == nil && !c.leaving.Load():
+			return
+		}
+		search.step(ctx, current)
+		if current.self == nil && !c.leaving.Load() {
 			if !logged {
 				c.host.Log.Warn().Str("incarnation", c.incarnation).Str("hint", "asterridgectl admit core "+c.host.Name).Msg("this core is not a member")
 			}
@@ -87,7 +91,7 @@
 		if len(h.Members) > 0 {
 			c.adoptMembership(h.MembersRecord)
 			if c.membership().self == nil {
-				c.adoptBootstrapMembers(h.Members, bootstrapRevision)
+				c.adoptBootstrapMembers(h, bootstrapRevision)
 			}
 			return
 		}
@@ -120,7 +124,7 @@
 	}
 	members := firstMembers(hellos)
 	c.host.Log.Info().Int("members", len(members)).Msg("fleet bootstrapped")
-	c.adoptBootstrapMembers(members, revision)
+	c.adoptBootstrapMembers(protocol.Hello{Members: members}, revision)
 }
 
 // firstMembers assigns member IDs in order of address, so that all bootstrap peers produce the same list.
@@ -132,14 +136,15 @@
 	return members
 }
 
-// adoptBootstrapMembers stores the first list under a revision if this core is on it; otherwise it only follows the members.
-func (c *Core) adoptBootstrapMembers(members []config.Member, revision register.Revision) {
-	if !membership.HasIncarnation(members, c.incarnation) {
-		c.observeMembers(members)
+// adoptBootstrapMembers stores the first list, which a hello names, under a revision if this core is on it; otherwise it only follows the
+// members.
+func (c *Core) adoptBootstrapMembers(hello protocol.Hello, revision register.Revision) {
+	if !membership.HasIncarnation(hello.Members, c.incarnation) {
+		c.observeMembers(hello)
 		return
 	}
 	fields := register.Fields{}
-	for _, m := range members {
+	for _, m := range hello.Members {
 		fields[m.Name], _ = json.Marshal(m) // a plain struct always encodes
 	}
 	if err := c.acceptor.Adopt(config.MembersKey, revision, fields); err != nil {
@@ -168,9 +173,7 @@
 	}
 	for h := range c.broadcastHello(ctx, addresses, c.helloMessage()) {
 		c.adoptMembership(h.MembersRecord)
-		if len(h.Members) > 0 {
-			c.observeMembers(h.Members)
-		}
+		c.observeMembers(h)
 	}
 }
 
--- a/controlplane/membership.go
+++ b/controlplane/membership.go
@@ -28,7 +28,7 @@
 
 // activeMembership is the membership that this core acts on (docs/design.md §2.8).
 type activeMembership struct {
-	// version is the version of the members' register; zero on a core that is not a member and follows a list named by others.
+	// version is the version of the members' register; zero on a core that follows a list that others named without its record.
 	version uint64
 	members []config.Member
 	// self is this core's own entry; nil if it is not a member.
@@ -127,6 +127,7 @@
 		}
 		current.record = c.recordedMembership(current.version)
 	default: // recorded as committed before this process started: mark it as committed so that peers see it
+		current.record = &membership.Record{Revision: record.Revision, Fields: record.Fields}
 		c.acceptor.Commit(config.MembersKey, record.Revision)
 	}
 	previous := c.membership()
@@ -182,13 +183,14 @@
 	return &record
 }
 
-// adoptMembership adopts a committed list that another core sent, if it is newer and includes this core. A core that is not on the list
-// does not need its register: it follows the members named in hello responses.
+// adoptMembership adopts a committed list that another core sent, if it is newer and this core is on it or is to learn that it was
+// removed. A core that is no member does not need the register: it follows the members named in hello responses.
 func (c *Core) adoptMembership(record *membership.Record) {
-	if record == nil || record.Revision.Version <= c.membership().version {
+	current := c.membership()
+	if record == nil || record.Revision.Version <= current.version {
 		return
 	}
-	if !membership.HasIncarnation(membership.Decode(record.Fields).Members, c.incarnation) {
+	if current.self == nil && !membership.HasIncarnation(membership.Decode(record.Fields).Members, c.incarnation) {
 		return
 	}
 	if err := c.acceptor.Adopt(config.MembersKey, record.Revision, record.Fields); err != nil {
@@ -198,12 +200,14 @@
 	c.applyMembers()
 }
 
-// observeMembers makes this core follow members that another core named, unless it has become a member in the meantime.
-func (c *Core) observeMembers(members []config.Member) {
+// observeMembers makes this core follow the members that a hello names, unless it is a member itself or knows a newer list. The lists of
+// earlier builds may come without their record, and so without a version.
+func (c *Core) observeMembers(hello protocol.Hello) {
 	c.membershipMu.Lock()
 	defer c.membershipMu.Unlock()
-	if c.membership().self == nil {
-		c.members.Store(&activeMembership{members: members})
+	named := activeMembership{version: hello.MembersRecord.Version(), members: hello.Members, record: hello.MembersRecord}
+	if current := c.membership(); len(named.members) > 0 && current.self == nil && named.version >= current.version {
+		c.members.Store(&named)
 		c.wake()
 	}
 }
--- a/gossip/detector.go
+++ b/gossip/detector.go
@@ -323,6 +323,18 @@
 	return HeartbeatReply{Updates: append(d.others(true), d.self)}, nil
 }
 
+// SampleAddresses returns the addresses of up to count random nodes other than this one, whether they are up or down.
+func (d *Detector) SampleAddresses(count int) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addresses []string
+	for _, node := range d.others(true) {
+		addresses = append(addresses, node.Address)
+	}
+	d.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(count, len(addresses))]
+}
+
 // others returns all known nodes but this one, ordered by name. The caller holds d.mu.
 func (d *Detector) others(withDown bool) (nodes []Node) {
 	for _, e := range d.nodes {
--- a/membership/record.go
+++ b/membership/record.go
@@ -17,6 +17,14 @@
 	Fields   register.Fields   `json:"fields"`
 }
 
+// Version returns the version of the list; 0 if r is nil.
+func (r *Record) Version() uint64 {
+	if r == nil {
+		return 0
+	}
+	return r.Revision.Version
+}
+
 // Fields of the members' register that are not members. A member's name cannot begin with a tilde.
 const (
 	// PreviousField holds the previous list from a change until a majority of the new list has every key.
--- a/protocol/timing.go
+++ b/protocol/timing.go
@@ -20,6 +20,10 @@
 	HelloInterval = 200 * time.Millisecond
 	// HelloTimeout limits one hello, so that a core that does not respond cannot delay the sender for longer.
 	HelloTimeout = time.Second
+	// SearchSample is how many nodes known through gossip are asked for the members in one search, besides the seeds.
+	SearchSample = 8
+	// SearchInterval is the time between two searches for a newer list of members by a process that hears no majority of those it knows.
+	SearchInterval = time.Second
 	// CacheReaderInterval is how often the cores determine which of them reads which replica's cache updates.
 	CacheReaderInterval = 500 * time.Millisecond
 )
