--- a/sim/outdated_list_test.go
+++ b/sim/outdated_list_test.go
@@ -13,8 +13,8 @@
 // recoverLimit is how long after all machines are back the fleet may take to serve again.
 const recoverLimit = 12 * time.Second
 
-// replaceAllBut ends the machines of the first start that still run, in order and one after the other, each after the empty one that takes
-// its place has joined.
+// replaceAllBut ends some machines without a word and then all others in order, one after the other, each after the empty one that takes its
+// place has joined.
 func (f *replaceable) replaceAllBut(away ...int) {
 	for _, machine := range away {
 		f.end(machine, false)
