--- a/sim/closing_fault_test.go
+++ b/sim/closing_fault_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"asterridge/apierror"
+	"asterridge/config"
 )
 
 var (
@@ -44,7 +45,11 @@
 	trouble sync.WaitGroup // faults that end by themselves
 }
 
-const closingAgents = 3
+const (
+	closingAgents = 3
+	// applyLimit is how long after its acknowledgement a change may take to be in force at all proxies in calm times.
+	applyLimit = 2 * time.Second
+)
 
 func (d *closingDay) play(is *is.I) {
 	for range closingAgents {
@@ -61,6 +66,8 @@
 			d.trouble.Wait()
 			d.untilWhole(recoverLimit)
 			time.Sleep(4 * time.Second) // catch_up_s
+			d.change()
+			d.Until(applyLimit, "a change is in force at all proxies", d.allHaveNewest)
 		}
 	}
 	d.trouble.Wait()
@@ -91,6 +98,51 @@
 		path := fmt.Sprint("p", d.number+1)
 		d.declareAnywhere(path)
 		d.paths = append(d.paths, path)
+		d.checkReads()
+	}
+	d.sendInvalid()
+}
+
+// checkReads wants no older configuration than the newest acknowledged one from any core that answers.
+func (d *closingDay) checkReads() {
+	for _, core := range d.live {
+		if d.draw.IntN(3) > 0 || d.core(core) == nil {
+			continue
+		}
+		if number, _, err := d.declared(core); err == nil && number < d.number {
+			d.t.Errorf("core %d shows %d, and %d was acknowledged", core+1, number, d.number)
+		}
+	}
+}
+
+// sendInvalid sends a random core a configuration that must not be taken: two paths for one place, a pool that there is not, an old number,
+// or one that is based on another than the present number.
+func (d *closingDay) sendInvalid() {
+	core := d.core(d.anyCore())
+	if core == nil {
+		return
+	}
+	number, base, path := d.number+1, d.number, "invalid"
+	kind := d.draw.IntN(4)
+	switch kind {
+	case 2:
+		number = d.number
+	case 3:
+		base = d.number - 1
+	}
+	invalid := numbered(number, base, false, path)
+	changed := config.Path{Name: path, Address: "/" + path + "/", Pool: "web", DeadlineMs: 1000, Public: true, MaxBody: 1000, Cost: 1}
+	switch kind {
+	case 0:
+		changed.Address = "/" + d.paths[len(d.paths)-1] + "/"
+	case 1:
+		changed.Pool = "unknown"
+	}
+	invalid.Items.Apply(config.Field("path/"+path, changed))
+	short, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	if core.SubmitConfig(short, invalid) == nil {
+		d.t.Errorf("an invalid configuration was taken: kind %d, number %d on %d", kind, number, base)
 	}
 }
 
