--- a/agent/discovery.go
+++ b/agent/discovery.go
@@ -54,8 +54,8 @@
 	return true
 }
 
-// searchMembers asks all seed addresses concurrently, and adopts each list that is newer than the known one. It returns once all have
-// answered, or a majority may be reachable because an answer named the first list.
+// searchMembers asks all seed addresses concurrently, and adopts each list that is newer than the known one as soon as it is named. It
+// returns once all have answered or protocol.HelloTimeout is over.
 func (a *Agent) searchMembers(ctx context.Context) {
 	addresses := a.seedAddresses()
 	answers := make(chan protocol.Hello, len(addresses))
