--- a/controlplane/member_search.go
+++ b/controlplane/member_search.go
@@ -11,7 +11,7 @@
 
 // memberSearch looks for a newer list of members while this core is in contact with no majority of the list that it knows. All members of
 // that list may have been replaced while this core was down, frozen or partitioned; the others do not know its address then, and only its
-// seeds and the nodes known through gossip can tell it the present list (docs/control.md, The list of members).
+// seeds and the nodes known through gossip can tell it the present list (docs/control.md §3).
 //
 // A majority of an outdated list cannot be in contact without one of them knowing the next list, so a core that has a majority need not
 // search.
