An agent tries lists without a version in turn while no majority answers

Change: while neither list has a version and no majority answers, an agent takes the other list, one a search.

Test: TestListsWithoutVersionAreTriedInTurn [agent]; with the former rule it fails at the second search.

--- a/agent/discovery.go
+++ b/agent/discovery.go
@@ -71,30 +71,36 @@
 		pending.Wait()
 		close(answers)
 	}()
+	triedUnversioned := false
 	for hello := range answers {
-		if a.adoptMembers(hello) {
+		if a.adoptMembers(hello, &triedUnversioned) {
 			a.watchCores(ctx)
 		}
 	}
 }
 
-// adoptMembers takes over the members that a hello names if none are known, or if the hello's list is newer than the known one. A list
-// without its record has no version; earlier builds of agents send such lists.
-func (a *Agent) adoptMembers(hello protocol.Hello) (adopted bool) {
+// adoptMembers takes over the members that a hello names if none are known, or if the hello's list is newer than the known one. Restarted
+// cores and agents of earlier builds name their lists without a version. If neither list has one, which is newer can't be told, and the
+// other list is tried: once in each search, which triedUnversioned records.
+func (a *Agent) adoptMembers(hello protocol.Hello, triedUnversioned *bool) (adopted bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if len(hello.Members) == 0 || len(a.members) > 0 && hello.MembersRecord.Version() <= a.membersRecord.Version() {
+	if len(hello.Members) == 0 {
 		return false
 	}
-	if len(a.members) > 0 {
-		a.host.Log.Warn().Uint64("known_version", a.membersRecord.Version()).Uint64("version", hello.MembersRecord.Version()).
-			Msg("cores were replaced while this agent did not hear them")
-	}
-	if hello.MembersRecord == nil {
-		a.members = hello.Members
+	version, known := hello.MembersRecord.Version(), a.membersRecord.Version()
+	if version > known {
+		if len(a.members) > 0 {
+			a.host.Log.Warn().Uint64("known_version", known).Uint64("version", version).Msg("cores were replaced while this agent did not hear them")
+		}
+		a.applyMembership(hello.MembersRecord)
 		return true
 	}
-	a.applyMembership(hello.MembersRecord)
+	if version > 0 || known > 0 || *triedUnversioned || slices.Equal(hello.Members, a.members) {
+		return false
+	}
+	*triedUnversioned = true
+	a.members = hello.Members
 	return true
 }
 
