rpc: one function for concurrent calls, in place of two in agent and controlplane

The search for members had brought a second copy of the loop that sends hellos to many addresses at once. No change of behaviour.

--- a/agent/discovery.go
+++ b/agent/discovery.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"sync"
 	"time"
 
 	"asterridge/config"
@@ -57,22 +56,8 @@
 // searchMembers asks all seed addresses concurrently, and adopts each list that is newer than the known one as soon as it is named. It
 // returns once all have answered or protocol.HelloTimeout is over.
 func (a *Agent) searchMembers(ctx context.Context) {
-	addresses := a.seedAddresses()
-	answers := make(chan protocol.Hello, len(addresses))
-	var pending sync.WaitGroup
-	for _, address := range addresses {
-		pending.Go(func() {
-			if hello, err := a.sayHello(ctx, address); err == nil {
-				answers <- hello
-			}
-		})
-	}
-	go func() {
-		pending.Wait()
-		close(answers)
-	}()
 	triedUnversioned := false
-	for hello := range answers {
+	for hello := range rpc.CallAll[protocol.Hello](ctx, a.rpc, a.seedAddresses(), "/core/hello", protocol.Hello{}, protocol.HelloTimeout) {
 		if a.adoptMembers(hello, &triedUnversioned) {
 			a.watchCores(ctx)
 		}
@@ -114,12 +99,6 @@
 	a.recordCores()
 }
 
-func (a *Agent) sayHello(ctx context.Context, address string) (protocol.Hello, error) {
-	ctx, cancel := context.WithTimeout(ctx, protocol.HelloTimeout)
-	defer cancel()
-	return rpc.Call[protocol.Hello](ctx, a.rpc, address, "/core/hello", protocol.Hello{})
-}
-
 // seedAddresses returns the addresses to ask for the members: the configured seeds, some of the nodes known from gossip, and the cores
 // that an earlier run of this agent recorded on disk.
 func (a *Agent) seedAddresses() []string {
--- a/controlplane/bootstrap.go
+++ b/controlplane/bootstrap.go
@@ -6,7 +6,6 @@
 	"maps"
 	"slices"
 	"sort"
-	"sync"
 	"time"
 
 	"asterridge/apierror"
@@ -179,23 +178,6 @@
 
 // broadcastHello sends a hello concurrently to all addresses except this core's own. The channel is closed after the last response.
 func (c *Core) broadcastHello(ctx context.Context, addresses []string, hello protocol.Hello) <-chan protocol.Hello {
-	answers := make(chan protocol.Hello, len(addresses))
-	var pending sync.WaitGroup
-	for _, address := range addresses {
-		if address == c.host.Address {
-			continue
-		}
-		pending.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, protocol.HelloTimeout)
-			defer cancel()
-			if h, err := rpc.Call[protocol.Hello](ctx, c.rpc, address, "/core/hello", hello); err == nil {
-				answers <- h
-			}
-		})
-	}
-	go func() {
-		pending.Wait()
-		close(answers)
-	}()
-	return answers
+	others := slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return address == c.host.Address })
+	return rpc.CallAll[protocol.Hello](ctx, c.rpc, others, "/core/hello", hello, protocol.HelloTimeout)
 }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/go-kit/kit/endpoint"
@@ -81,6 +82,27 @@
 	return response.(Response), nil
 }
 
+// CallAll sends a request to a path of all addresses concurrently, for at most timeout each, and returns the responses in the order of
+// their arrival; calls that fail give none. The channel is closed after the last call has ended, and need not be read to its end.
+func CallAll[Response any](ctx context.Context, client *Client, addresses []string, path string, request any, timeout time.Duration) <-chan Response {
+	responses := make(chan Response, len(addresses))
+	var pending sync.WaitGroup
+	for _, address := range addresses {
+		pending.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, timeout)
+			defer cancel()
+			if response, err := Call[Response](ctx, client, address, path, request); err == nil {
+				responses <- response
+			}
+		})
+	}
+	go func() {
+		pending.Wait()
+		close(responses)
+	}()
+	return responses
+}
+
 func (c *Client) encodeRequest(_ context.Context, r *http.Request, request any) error {
 	raw, err := json.Marshal(request)
 	if err != nil {
