--- a/sim/closing_fault_test.go
+++ b/sim/closing_fault_test.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// sendInvalid sends a random core a configuration that must not be taken: two paths for one place, a pool that there is not, an old number,
-// or one that is based on another than the present number.
+// sendInvalid sends a random core a configuration that must not be taken: two paths for one place, as written or by hosts that differ in
+// case alone, a pool that there is not, an old number, or one that is based on another than the present number.
 func (d *closingDay) sendInvalid() {
 	core := d.core(d.anyCore())
 	if core == nil {
@@ -132,17 +132,21 @@
 	}
 	invalid := numbered(number, base, false, path)
 	changed := config.Path{Name: path, Address: "/" + path + "/", Pool: "web", DeadlineMs: 1000, Public: true, MaxBody: 1000, Cost: 1}
-	switch kind {
-	case 0:
+	switch {
+	case kind == 0 && number%2 == 0:
 		changed.Address = "/" + d.paths[len(d.paths)-1] + "/"
-	case 1:
+	case kind == 0:
+		twin := changed
+		twin.Name, twin.Host, changed.Host = path+"-twin", "map.example", "Map.Example"
+		invalid.Items.Apply(config.Field("path/"+twin.Name, twin))
+	case kind == 1:
 		changed.Pool = "unknown"
 	}
 	invalid.Items.Apply(config.Field("path/"+path, changed))
 	short, stop := context.WithTimeout(context.Background(), time.Second)
 	defer stop()
 	if core.SubmitConfig(short, invalid) == nil {
-		d.t.Errorf("an invalid configuration was taken: kind %d, number %d on %d", kind, number, base)
+		d.t.Fatalf("an invalid configuration was taken: kind %d, number %d on %d", kind, number, base) // the next change would not be taken
 	}
 }
 
