An agent says why it is not current: no core found, which cores are missing, what is undecided

Callers saw: after a return an agent that never becomes current logged nothing at all (it logs changes, and it begins as not current), and its metrics did not tell too few cores from a change in doubt or from seeds that are gone. Change: the reason names the list, the cores that do not answer, or the change in doubt and where it is; it is logged when it changes, at most once a second, also at the start. Gauges for members, fresh members, the list's version, the list before, the last search and registers in doubt. Nothing decides otherwise than before. TestReasonsForNotBeingCurrentAreToldApart [agent].

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -80,11 +80,15 @@
 	applied map[string]register.Revision
 	// undecided holds the in-doubt versions that are later than the applied ones.
 	undecided map[string]undecidedVersion
-	// currentUntil is when the agent ceases to be current, as last evaluated; notCurrentReason is why it is not current; loggedCurrent is
-	// the state that was last logged.
+	// searchAsked and searchAnswers are how many addresses the last search for members asked, and how many of them answered.
+	searchAsked, searchAnswers int
+	// currentUntil is when the agent ceases to be current, as last evaluated; notCurrentReason is why it is not current.
 	currentUntil     time.Time
 	notCurrentReason string
-	loggedCurrent    bool
+	// loggedCurrent and loggedReason are what was last logged, at reasonLoggedAt.
+	loggedCurrent  bool
+	loggedReason   string
+	reasonLoggedAt time.Time
 	// everCurrent is closed when this agent becomes current for the first time.
 	everCurrent      chan struct{}
 	closeEverCurrent sync.Once
--- a/agent/currency.go
+++ b/agent/currency.go
@@ -44,12 +44,16 @@
 func (a *Agent) evaluateCurrency() {
 	now := time.Now()
 	if len(a.members) == 0 {
+		a.notCurrentReason = a.describeSearch()
+		if a.searchAsked > 0 { // else the first search is still under way
+			a.logCurrency(now, false, a.notCurrentReason)
+		}
 		return
 	}
 	wasCurrent := now.Before(a.currentUntil)
 	until, reason := a.quorumFreshUntil(), ""
 	if !now.Before(until) {
-		reason = "fewer than a majority of cores answer"
+		reason = a.describeMissingQuorum(now)
 	}
 	for key := range a.publishedKeys() {
 		end, undecided := a.applyKey(key, now, wasCurrent)
@@ -58,13 +62,10 @@
 		}
 		until = end
 		if !now.Before(until) {
-			reason = "a change of " + key + " is undecided"
+			reason = a.describeUndecided(key, a.undecided[key].revision)
 		}
 	}
-	if current := now.Before(until); current != a.loggedCurrent { // also reached when a time limit has expired without a response
-		a.loggedCurrent = current
-		a.host.Log.Info().Bool("current", current).Str("reason", reason).Msg("currency changed")
-	}
+	a.logCurrency(now, now.Before(until), reason) // also reached when a time limit has expired without a response
 	a.currentUntil, a.notCurrentReason = until, reason
 	if now.Before(until) {
 		a.closeEverCurrent.Do(func() { close(a.everCurrent) })
--- a/agent/discovery.go
+++ b/agent/discovery.go
@@ -56,14 +56,24 @@
 // searchMembers asks all seed addresses concurrently, and adopts each list that is newer than the known one as soon as it is named. It
 // returns once all have answered or protocol.HelloTimeout is over.
 func (a *Agent) searchMembers(ctx context.Context) {
-	triedUnversioned := false
-	for hello := range rpc.CallAll[protocol.Hello](ctx, a.rpc, a.seedAddresses(), "/core/hello", protocol.Hello{}, protocol.HelloTimeout) {
+	triedUnversioned, answers, addresses := false, 0, a.seedAddresses()
+	defer func() { a.noteSearch(len(addresses), answers) }()
+	for hello := range rpc.CallAll[protocol.Hello](ctx, a.rpc, addresses, "/core/hello", protocol.Hello{}, protocol.HelloTimeout) {
+		answers++
 		if a.adoptMembers(hello, &triedUnversioned) {
 			a.watchCores(ctx)
 		}
 	}
 }
 
+// noteSearch records how a search for members went.
+func (a *Agent) noteSearch(asked, answers int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.searchAsked, a.searchAnswers = asked, answers
+	a.evaluateCurrency()
+}
+
 // adoptMembers takes over the members that a hello names if none are known, or if the hello's list is newer than the known one. Restarted
 // cores and agents of earlier builds name their lists without a version. If neither list has one, which is newer can't be told, and the
 // other list is tried: once in each search, which triedUnversioned records.
--- a/agent/discovery_test.go
+++ b/agent/discovery_test.go
@@ -44,3 +44,22 @@
 	is.Equal(search(hello("older", 5), hello("present", 21), hello("outdated", 0)), "present")
 	is.Equal(search(hello("older", 5), hello("outdated", 0)), "present") // a version is never given up for a list without one
 }
+
+// A refusing proxy's agent says whether it found no core, hears too few of them, or waits for a change to be decided.
+func TestReasonsForNotBeingCurrentAreToldApart(t *testing.T) {
+	is := is.New(t)
+	a := New(daemon.Host{Name: "agent-1", Net: &rpc.TCP{}, Log: zerolog.Nop()}, nil, Options{})
+	reason := func() string {
+		a.remaining()
+		return a.notCurrentReason
+	}
+	a.noteSearch(3, 1)
+	is.Equal(reason(), "no core found yet: 1 of 3 addresses answered, none named the members")
+	tried := false
+	a.adoptMembers(hello("core-1", 5), &tried)
+	is.Equal(reason(), "fewer than a majority of cores answer (list of version 5: 0 of 1 answer, 1 needed, no answer from core-1)")
+	a.previousMembers = []config.Member{{Name: "core-1"}, {Name: "core-2"}}
+	is.Equal(reason(), "fewer than a majority of cores answer (list of version 5: 0 of 1 answer, 1 needed, no answer from core-1; "+
+		"previous list of version 5: 0 of 2 answer, 2 needed, no answer from core-1 core-2)")
+	is.Equal(a.describeUndecided("blueprint", register.Revision{Epoch: 1, Version: 7}), "a change of blueprint is undecided (version 7 of epoch 1 at 0 of 1: )")
+}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -17,6 +17,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	all = append(all, a.diagnosisGauges(time.Now())...)
 	for _, m := range a.members {
 		age := float64(unknownAge)
 		if at := a.freshAsOf(m); !at.IsZero() {
