--- a/agent/discovery_test.go
+++ b/agent/discovery_test.go
@@ -61,5 +61,6 @@
 	a.previousMembers = []config.Member{{Name: "core-1"}, {Name: "core-2"}}
 	is.Equal(reason(), "fewer than a majority of cores answer (list of version 5: 0 of 1 answer, 1 needed, no answer from core-1; "+
 		"previous list of version 5: 0 of 2 answer, 2 needed, no answer from core-1 core-2)")
-	is.Equal(a.describeUndecided("blueprint", register.Revision{Epoch: 1, Version: 7}), "a change of blueprint is undecided (version 7 of epoch 1 at 0 of 1: )")
+	is.Equal(a.describeUndecided(config.Key, register.Revision{Epoch: 1, Version: 7}),
+		"a change of "+config.Key+" is undecided (version 7 of epoch 1 at 0 of 1: )")
 }
