The list of members is mended without members whose disks are proven lost

Callers saw: nobody is served any more, for good, after a second disk is lost once the first one's machine has had catch_up_s, where the removal of the first was held up by a third disk that took no writes. Cause: two of four are left; removing a lost member takes three votes of the list that still names it, although the empty machine at its address had proven the loss. Class: a repair that needs what is broken. For odd lists nothing changes.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -198,7 +198,7 @@
 	}
 	c.damaged.Store(c.acceptor.IsDamaged())
 	c.owner = register.NewOwner(register.OwnerOptions{
-		MemberID: c.memberID.Load, Acceptor: c.acceptor, Peers: c.memberAcceptors, Timeout: protocol.QuorumTimeout,
+		MemberID: c.memberID.Load, Acceptor: c.acceptor, Voters: c.voters, Timeout: protocol.QuorumTimeout,
 	})
 	for _, key := range c.acceptor.Keys() {
 		if scope, ok := strings.CutPrefix(key, protocol.ThrottlePrefix); ok {
--- a/controlplane/membership.go
+++ b/controlplane/membership.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"time"
 
-	"asterridge/apierror"
 	"asterridge/config"
 	"asterridge/membership"
 	"asterridge/protocol"
@@ -75,18 +74,6 @@
 	return activeMembership{}
 }
 
-// hasQuorum reports whether this core is a member and is in contact with a majority of the members. Without a quorum it must not take
-// singleton roles: it would consider itself the only live core and assign all of them to itself.
-func (c *Core) hasQuorum() bool {
-	current := c.membership()
-	return current.self != nil && c.hasMajorityOf(current.members)
-}
-
-// hasMajorityOf reports whether this core is in contact with a majority of these members.
-func (c *Core) hasMajorityOf(members []config.Member) bool {
-	return len(c.live()) >= membership.Majority(len(members))
-}
-
 // isAssigned reports whether a key is assigned to this core by rendezvous hashing over the live members.
 func (c *Core) isAssigned(key string) bool {
 	return c.hasQuorum() && rendezvous.Pick(key, c.live()) == c.host.Name
@@ -212,24 +199,6 @@
 	}
 }
 
-// memberAcceptors returns the acceptors of all members, for requests under the membership that this core acts on now.
-func (c *Core) memberAcceptors() (register.Peers, error) {
-	current := c.membership()
-	if current.self == nil {
-		return nil, apierror.New(apierror.NoMember, "%s is not a member", c.host.Name)
-	}
-	client := acceptorClient{core: c, membersVersion: current.version}
-	var all register.Peers
-	for _, m := range current.members {
-		if m.Incarnation == c.incarnation {
-			all = append(all, localAcceptor{client})
-		} else {
-			all = append(all, remoteAcceptor{acceptorClient: client, address: m.Address})
-		}
-	}
-	return all, nil
-}
-
 // awaitMembership waits up to membershipWait until this core acts on a list of at least that version, and returns the current list.
 func (c *Core) awaitMembership(version uint64) activeMembership {
 	timer := time.NewTimer(membershipWait)
--- a/controlplane/operation.go
+++ b/controlplane/operation.go
@@ -102,7 +102,7 @@
 // applyWithQuorum applies a request forwarded by another core. A core without a quorum rejects it, since the sender may still reach a
 // majority.
 func (o operation[Request, Response]) applyWithQuorum(ctx context.Context, request Request) (Response, error) {
-	if !o.core.hasQuorum() {
+	if !o.core.hasQuorumFor(o.key(request)) {
 		var none Response
 		return none, apierror.New(apierror.NoMajority, "%s cannot reach a majority of the members", o.core.host.Name)
 	}
--- a/membership/change.go
+++ b/membership/change.go
@@ -41,6 +41,20 @@
 	HeardAt             time.Time
 }
 
+// LostDisk returns the member that had the joiner's address with another disk: that disk is lost, since an address belongs to one machine
+// at a time. It reports false if there is none, or if the joiner was not heard recently.
+func (j Joiner) LostDisk(members []config.Member, now time.Time) (config.Member, bool) {
+	if now.Sub(j.HeardAt) > JoinerTimeout {
+		return config.Member{}, false
+	}
+	for _, m := range members {
+		if m.Address == j.Address && m.Incarnation != j.Incarnation {
+			return m, true
+		}
+	}
+	return config.Member{}, false
+}
+
 // Change admits a joiner, or takes a member off the list.
 type Change struct {
 	Action Action `json:"do"`
--- a/register/owner.go
+++ b/register/owner.go
@@ -26,8 +26,8 @@
 	// MemberID returns the member ID of this core, which is the low bits of its epochs.
 	MemberID func() uint32
 	Acceptor *Acceptor
-	// Peers returns the acceptors of the current members. If it fails, the pending calls fail with its error.
-	Peers func() (Peers, error)
+	// Voters returns the acceptors of the current members for a register. If it fails, the pending calls fail with its error.
+	Voters func(key string) (Voters, error)
 	// Timeout is how long one batch of calls waits for a majority.
 	Timeout time.Duration
 }
@@ -79,7 +79,7 @@
 // Change applies an op to a register. A nil error means that a majority has the change on disk. An error of the op itself, and the success
 // of an op without a change, are returned only after a majority has confirmed, since the call began, that this core owns the register. The
 // other errors are apierror.Undecided if the change may or may not have been made, and NoMajority, Superseded and those of
-// OwnerOptions.Peers if nothing was done.
+// OwnerOptions.Voters if nothing was done.
 func (o *Owner) Change(ctx context.Context, key string, op Op) (Revision, error) {
 	return o.submit(ctx, key, &pending{op: op, ctx: ctx, result: make(chan result, 1)})
 }
@@ -147,25 +147,28 @@
 // process answers a batch. An answer is valid only if a majority has acknowledged this owner's epoch after the whole batch had arrived: by
 // promising it, by accepting a version under it, or by confirming it.
 func (o *Owner) process(ctx context.Context, key string, k *ownedKey, batch []*pending) {
-	peers, err := o.options.Peers()
+	voters, err := o.options.Voters(key)
+	if err == nil {
+		err = voters.check(key)
+	}
 	if err != nil {
 		rejectAll(batch, err)
 		return
 	}
-	acquired, err := o.ensureOwned(ctx, peers, key, k)
+	acquired, err := o.ensureOwned(ctx, voters, key, k)
 	if err != nil {
 		rejectAll(batch, err)
 		return
 	}
 	e := k.evaluate(batch)
 	if !e.needsWrite && !acquired {
-		if e, err = o.confirmEvaluation(ctx, peers, key, k, batch, e); err != nil {
+		if e, err = o.confirmEvaluation(ctx, voters, key, k, batch, e); err != nil {
 			rejectAll(batch, apierror.New(apierror.Undecided, "ownership of %s not confirmed by a majority: %v", key, err))
 			return
 		}
 	}
 	if e.needsWrite {
-		if err := o.write(ctx, peers, key, k, e.change, e.content); err != nil {
+		if err := o.write(ctx, voters, key, k, e.change, e.content); err != nil {
 			rejectAll(batch, err) // also the calls without a change: their answers depend on the content that was being written
 			return
 		}
@@ -184,10 +187,10 @@
 // confirmEvaluation has a majority confirm the epoch under which a batch without a write was evaluated. If another owner has superseded it,
 // and so may have changed the register, the register is acquired and the batch evaluated again. That is safe: nothing of the first
 // evaluation was written or answered.
-func (o *Owner) confirmEvaluation(ctx context.Context, peers Peers, key string, k *ownedKey, batch []*pending, e evaluation) (evaluation, error) {
-	err := o.confirm(ctx, peers, key, k)
+func (o *Owner) confirmEvaluation(ctx context.Context, voters Voters, key string, k *ownedKey, batch []*pending, e evaluation) (evaluation, error) {
+	err := o.confirm(ctx, voters, key, k)
 	if apierror.Is(err, apierror.Superseded) {
-		if _, err = o.ensureOwned(ctx, peers, key, k); err == nil {
+		if _, err = o.ensureOwned(ctx, voters, key, k); err == nil {
 			e = k.evaluate(batch)
 		}
 	}
@@ -231,16 +234,16 @@
 }
 
 // ensureOwned acquires the register if this core doesn't own it. The result acquired reports whether a majority has just promised the epoch.
-func (o *Owner) ensureOwned(ctx context.Context, peers Peers, key string, k *ownedKey) (acquired bool, err error) {
+func (o *Owner) ensureOwned(ctx context.Context, voters Voters, key string, k *ownedKey) (acquired bool, err error) {
 	if k.epoch != 0 && o.options.Acceptor.Promised(key) > k.epoch {
 		k.epoch = 0 // this core's own acceptor has promised a higher epoch to another owner
 	}
 	if k.epoch != 0 {
 		return false, nil
 	}
-	err = o.acquire(ctx, peers, key, k)
+	err = o.acquire(ctx, voters, key, k)
 	for retry := 0; retry < acquireRetries && apierror.Is(err, apierror.Superseded); retry++ {
-		err = o.acquire(ctx, peers, key, k)
+		err = o.acquire(ctx, voters, key, k)
 	}
 	return err == nil, err
 }
--- a/register/peers.go
+++ b/register/peers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+
+	"asterridge/apierror"
 )
 
 // Peer is the acceptor of a member, either this core or another one. The errors are those of Acceptor, and apierror.Unreachable, NoMember
@@ -15,10 +17,35 @@
 	Commit(ctx context.Context, key string, revision Revision)
 }
 
-// Peers are the acceptors of all members, including this core's own, as of one version of the membership.
+// Peers are the acceptors of members, including this core's own.
 type Peers []Peer
 
-func (p Peers) majority() int { return len(p)/2 + 1 }
+// Voters are the acceptors that decide about a register, as of one version of the membership.
+type Voters struct {
+	Peers Peers
+	// Lost is how many members there are besides the peers: those whose disks are proven lost, so that they will never vote again.
+	Lost int
+}
+
+// Quorum returns how many of the peers must agree: a majority of all members, or of all but one if at least one is proven lost.
+//
+// For an even number n of members the latter is n/2, one less than a majority. It still meets every majority of all n, and every other n/2
+// of the members that are not lost, since these are at most n-1; in both cases the acceptor that they share is one of the peers.
+func (v Voters) Quorum() int {
+	members := len(v.Peers) + v.Lost
+	if v.Lost > 0 {
+		members--
+	}
+	return members/2 + 1
+}
+
+// check returns apierror.NoMajority if all peers together are fewer than a quorum.
+func (v Voters) check(key string) error {
+	if len(v.Peers) < v.Quorum() {
+		return apierror.New(apierror.NoMajority, "%d members are left of the %d needed for %s", len(v.Peers), v.Quorum(), key)
+	}
+	return nil
+}
 
 // answer is the result of a call to one peer.
 type answer[T any] struct {
--- a/register/random_test.go
+++ b/register/random_test.go
@@ -49,7 +49,9 @@
 // newestNumber returns the highest number on any disk, so that most generated writes have a matching base.
 func (c *model) newestNumber() (number uint64) {
 	for _, m := range c.members {
-		number = max(number, numberOf(m))
+		if !m.lost {
+			number = max(number, numberOf(m))
+		}
 	}
 	return number
 }
@@ -57,9 +59,14 @@
 // runRandomSchedule takes random steps, at first with faults, and then without until nothing is in progress any more.
 func runRandomSchedule(t *testing.T, seed uint64, p *injectedFault) (path []string, acknowledged int, fault error) {
 	random := rand.New(rand.NewPCG(seed, 7))
-	o := &requestGenerator{random: random}
 	s := scenario{size: 3 + random.IntN(3), requests: []request{writeRequest(0, 1, 0, "a")}, injected: p,
 		faults: faultBudget{losses: random.IntN(20), delays: random.IntN(20), duplicates: random.IntN(10), restarts: random.IntN(20)}}
+	return runRandomScenario(t, s, random)
+}
+
+// runRandomScenario takes random steps in a scenario, whose requests are only the first ones.
+func runRandomScenario(t *testing.T, s scenario, random *rand.Rand) (path []string, acknowledged int, fault error) {
+	o := &requestGenerator{random: random}
 	var history *linearizability.Recorder
 	path, fault = runSchedule(t, s, 0, func(c *model, open []choice) int {
 		history = c.history
--- a/register/rounds.go
+++ b/register/rounds.go
@@ -8,15 +8,15 @@
 
 // acquire prepares a new epoch and adopts the highest revision that the acceptors of a majority have accepted. If that revision is not known
 // to be committed, it is written again first, so that every new version is based on a committed one.
-func (o *Owner) acquire(ctx context.Context, peers Peers, key string, k *ownedKey) error {
+func (o *Owner) acquire(ctx context.Context, voters Voters, key string, k *ownedKey) error {
 	epoch := nextEpoch(max(k.highestSeen, o.options.Acceptor.Promised(key)), o.options.MemberID())
 	k.highestSeen = epoch
 	own := o.options.Acceptor.Read(key)
 	newest, committed := own, own.Committed
 	var rejection error
 	promises := 0
-	answers := gather(peers, func(p Peer) (Record, error) { return p.Prepare(ctx, key, epoch, own.Revision) })
-	for promises < peers.majority() {
+	answers := gather(voters.Peers, func(p Peer) (Record, error) { return p.Prepare(ctx, key, epoch, own.Revision) })
+	for promises < voters.Quorum() {
 		a, more := <-answers
 		if !more {
 			break
@@ -35,17 +35,17 @@
 			committed = a.value.Committed
 		}
 	}
-	if promises < peers.majority() {
+	if promises < voters.Quorum() {
 		if rejection != nil {
 			return rejection
 		}
-		return apierror.New(apierror.NoMajority, "%d of %d promises needed for %s", promises, peers.majority(), key)
+		return apierror.New(apierror.NoMajority, "%d of %d promises needed for %s", promises, voters.Quorum(), key)
 	}
 	k.epoch, k.revision, k.fields, k.committed = epoch, newest.Revision, newest.Fields.Clone(), committed
 	if IsCommitted(newest.Revision, committed) {
 		return nil
 	}
-	return o.write(ctx, peers, key, k, nil, k.fields)
+	return o.write(ctx, voters, key, k, nil, k.fields)
 }
 
 // observe records the higher epoch that an apierror.Superseded reports. It returns false for any other error.
@@ -59,13 +59,13 @@
 
 // confirm asks the peers whether this owner's epoch is still the highest that they have promised. Unless a majority says so, the register
 // has to be acquired again. Nothing is written to disk.
-func (o *Owner) confirm(ctx context.Context, peers Peers, key string, k *ownedKey) error {
+func (o *Owner) confirm(ctx context.Context, voters Voters, key string, k *ownedKey) error {
 	epoch := k.epoch
-	answers := gather(peers, func(p Peer) (struct{}, error) { return struct{}{}, p.Confirm(ctx, key, epoch) })
+	answers := gather(voters.Peers, func(p Peer) (struct{}, error) { return struct{}{}, p.Confirm(ctx, key, epoch) })
 	confirmed, rejected := 0, 0
 	var rejection error
-	for confirmed < peers.majority() {
-		if rejected > len(peers)-peers.majority() {
+	for confirmed < voters.Quorum() {
+		if rejected > len(voters.Peers)-voters.Quorum() {
 			k.epoch = 0
 			return rejection
 		}
@@ -84,16 +84,16 @@
 
 // write has a majority accept one version, and then tells all peers that it is committed. With an empty change it writes the present content
 // under the present epoch, with the version unchanged.
-func (o *Owner) write(ctx context.Context, peers Peers, key string, k *ownedKey, change, content Fields) error {
+func (o *Owner) write(ctx context.Context, voters Voters, key string, k *ownedKey, change, content Fields) error {
 	next := Revision{Epoch: k.epoch, Version: k.revision.Version + 1}
 	if len(change) == 0 {
 		next.Version = k.revision.Version
 	}
 	delta := Change{Key: key, Base: k.revision, Next: next, Fields: change, Committed: k.committed}
-	answers := gather(peers, func(p Peer) (struct{}, error) { return struct{}{}, acceptDelta(ctx, p, delta, content) })
+	answers := gather(voters.Peers, func(p Peer) (struct{}, error) { return struct{}{}, acceptDelta(ctx, p, delta, content) })
 	accepted := 0
 	var rejection error
-	for accepted < peers.majority() {
+	for accepted < voters.Quorum() {
 		a, more := <-answers
 		if !more {
 			break
@@ -106,13 +106,13 @@
 			rejection = a.err
 		}
 	}
-	if accepted < peers.majority() {
+	if accepted < voters.Quorum() {
 		k.epoch = 0
-		return apierror.New(apierror.Undecided, "%d of %d disks needed have %s version %d: %v", accepted, peers.majority(), key, next.Version, rejection)
+		return apierror.New(apierror.Undecided, "%d of %d disks needed have %s version %d: %v", accepted, voters.Quorum(), key, next.Version, rejection)
 	}
 	k.revision, k.fields, k.committed = next, content, next
 	o.options.Acceptor.Commit(key, next)
-	o.broadcastCommit(peers, key, next)
+	o.broadcastCommit(voters.Peers, key, next)
 	return nil
 }
 
