An owner gives up with its batch's time, also while its own disk stalls

Callers saw: operators' changes, claims and the transfer of keys wait for their whole time for an owner whose own disk stalls and that reaches no majority, and have none left for the next owner. Cause: acquire, write and confirm waited until every acceptor had answered; the core's own does not while its disk stalls. Class: a wait without a limit for what may never answer. Change: register.collect ends a round when a quorum agrees, when too many have failed for that, or with the batch's time.

--- a/register/confirm_test.go
+++ b/register/confirm_test.go
@@ -298,3 +298,24 @@
 		is.True(c.acceptors[2].Uncommitted("k"))
 	})
 }
+
+// Guards against an owner that waits for its own disk without a limit: with its disk stalled and the others out of reach it says within its
+// time that it has no majority, so that its callers can go on to another core.
+func TestOwnerDoesNotWaitForItsOwnStalledDisk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		c.isolate(0, true, true)
+		release := c.disks[0].Stall()
+		defer func() {
+			release()
+			time.Sleep(time.Second) // the stalled write ends
+		}()
+		began := time.Now()
+		ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+		defer stop()
+		_, err := c.owners[0].Change(ctx, "key", setNumber(0, 1))
+		is.True(apierror.Is(err, apierror.NoMajority))
+		is.True(time.Since(began) <= majorityTimeout)
+	})
+}
--- a/register/peers.go
+++ b/register/peers.go
@@ -69,3 +69,28 @@
 	}()
 	return answers
 }
+
+// collect calls all peers concurrently until a quorum agrees; agreed and failed are called with their answers. It gives up when the context
+// ends, or when too many peers have failed with an error that failed calls final: a peer may never answer, above all this core's own
+// acceptor while its disk stalls.
+func collect[T any](ctx context.Context, voters Voters, call func(Peer) (T, error), agreed func(T), failed func(error) (final bool)) (agreeing int, ok bool) {
+	answers := gather(voters.Peers, call)
+	lost := 0
+	for agreeing < voters.Quorum() && lost <= len(voters.Peers)-voters.Quorum() {
+		select {
+		case a, more := <-answers:
+			switch {
+			case !more:
+				return agreeing, false
+			case a.err == nil:
+				agreed(a.value)
+				agreeing++
+			case failed(a.err):
+				lost++
+			}
+		case <-ctx.Done():
+			return agreeing, false
+		}
+	}
+	return agreeing, agreeing >= voters.Quorum()
+}
--- a/register/rounds.go
+++ b/register/rounds.go
@@ -14,31 +14,25 @@
 	own := o.options.Acceptor.Read(key)
 	newest, committed := own, own.Committed
 	var rejection error
-	promises := 0
-	answers := gather(voters.Peers, func(p Peer) (Record, error) { return p.Prepare(ctx, key, epoch, own.Revision) })
-	for promises < voters.Quorum() {
-		a, more := <-answers
-		if !more {
-			break
+	call := func(p Peer) (Record, error) { return p.Prepare(ctx, key, epoch, own.Revision) }
+	promises, ok := collect(ctx, voters, call, func(promised Record) {
+		if newest.Revision.Less(promised.Revision) {
+			newest = promised
 		}
-		if a.err != nil {
-			if k.observe(a.err) {
-				rejection = a.err
-			}
-			continue
+		if committed.Less(promised.Committed) {
+			committed = promised.Committed
 		}
-		promises++
-		if newest.Revision.Less(a.value.Revision) {
-			newest = a.value
-		}
-		if committed.Less(a.value.Committed) {
-			committed = a.value.Committed
+	}, func(err error) (final bool) {
+		if k.observe(err) {
+			rejection = err // the register is prepared again, above the highest epoch that any peer reports
+			return false
 		}
+		return true
+	})
+	if !ok && rejection != nil {
+		return rejection
 	}
-	if promises < voters.Quorum() {
-		if rejection != nil {
-			return rejection
-		}
+	if !ok {
 		return apierror.New(apierror.NoMajority, "%d of %d promises needed for %s", promises, voters.Quorum(), key)
 	}
 	k.epoch, k.revision, k.fields, k.committed = epoch, newest.Revision, newest.Fields.Clone(), committed
@@ -61,25 +55,27 @@
 // has to be acquired again. Nothing is written to disk.
 func (o *Owner) confirm(ctx context.Context, voters Voters, key string, k *ownedKey) error {
 	epoch := k.epoch
-	answers := gather(voters.Peers, func(p Peer) (struct{}, error) { return struct{}{}, p.Confirm(ctx, key, epoch) })
-	confirmed, rejected := 0, 0
 	var rejection error
-	for confirmed < voters.Quorum() {
-		if rejected > len(voters.Peers)-voters.Quorum() {
-			k.epoch = 0
-			return rejection
-		}
-		a := <-answers // every peer answers, at the latest with an error when the context ends
-		if a.err == nil {
-			confirmed++
-			continue
-		}
-		if k.observe(a.err) || rejection == nil {
-			rejection = a.err
+	call := func(p Peer) (struct{}, error) { return struct{}{}, p.Confirm(ctx, key, epoch) }
+	confirmations, ok := collect(ctx, voters, call, func(struct{}) {}, k.firstRejection(&rejection))
+	if ok {
+		return nil
+	}
+	k.epoch = 0
+	if rejection == nil {
+		return apierror.New(apierror.NoMajority, "%d of %d confirmations needed for %s", confirmations, voters.Quorum(), key)
+	}
+	return rejection
+}
+
+// firstRejection returns a function for collect that keeps the first error in rejection, or else one that reports a higher epoch.
+func (k *ownedKey) firstRejection(rejection *error) func(error) (final bool) {
+	return func(err error) bool {
+		if k.observe(err) || *rejection == nil {
+			*rejection = err
 		}
-		rejected++
+		return true
 	}
-	return nil
 }
 
 // write has a majority accept one version, and then tells all peers that it is committed. With an empty change it writes the present content
@@ -90,23 +86,10 @@
 		next.Version = k.revision.Version
 	}
 	delta := Change{Key: key, Base: k.revision, Next: next, Fields: change, Committed: k.committed}
-	answers := gather(voters.Peers, func(p Peer) (struct{}, error) { return struct{}{}, acceptDelta(ctx, p, delta, content) })
-	accepted := 0
 	var rejection error
-	for accepted < voters.Quorum() {
-		a, more := <-answers
-		if !more {
-			break
-		}
-		if a.err == nil {
-			accepted++
-			continue
-		}
-		if k.observe(a.err) || rejection == nil {
-			rejection = a.err
-		}
-	}
-	if accepted < voters.Quorum() {
+	call := func(p Peer) (struct{}, error) { return struct{}{}, acceptDelta(ctx, p, delta, content) }
+	accepted, ok := collect(ctx, voters, call, func(struct{}) {}, k.firstRejection(&rejection))
+	if !ok {
 		k.epoch = 0
 		return apierror.New(apierror.Undecided, "%d of %d disks needed have %s version %d: %v", accepted, voters.Quorum(), key, next.Version, rejection)
 	}
