What the assigned core leaves undone is taken up by the next one: list, transfer, settling

Callers saw: nobody is served for as long as one disk takes no writes, after another disk was lost right after a change that just a majority had accepted (control.md, Not covered 4), where the core that has to mend the list or to settle the change is the one with that disk. Cause: proposer and settling owner are drawn among the cores that answer; one whose disk is full answers, and follows no newer list. Class: work given by liveness to one who may be alive and unable.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -108,6 +108,9 @@
 	reconcileMu  sync.Mutex
 	refreshMu    sync.Mutex
 	supersededMu sync.Mutex
+	// reconcileAge and transferAge are accessed only by ticks.
+	reconcileAge taskAge
+	transferAge  taskAge
 	// recordingSlot lets one goroutine at a time write the unresponsive members to disk. It is a channel rather than a mutex because a
 	// disk may stall for a long time.
 	recordingSlot chan struct{}
--- a/controlplane/membership.go
+++ b/controlplane/membership.go
@@ -237,16 +237,19 @@
 }
 
 // reconcileMembership proposes the next membership change that is due, one at a time. Only the member that the register is assigned to
-// proposes changes; the checks in the change itself apply regardless.
+// proposes changes, and the next one if it does not; the checks in the change itself apply regardless.
 func (c *Core) reconcileMembership(ctx context.Context) {
 	record := c.acceptor.Read(config.MembersKey)
 	transferring := record.Fields[membership.PreviousField] != nil
-	if transferring || !record.IsCommitted() || rendezvous.Pick(config.MembersKey, c.live()) != c.host.Name {
-		return
+	var members []config.Member
+	var proposal membership.Proposal
+	due := !transferring && record.IsCommitted()
+	if due {
+		members = membership.Decode(record.Fields).Members
+		proposal, due = c.membershipView().Next(members, time.Now())
 	}
-	members := membership.Decode(record.Fields).Members
-	proposal, due := c.membershipView().Next(members, time.Now())
-	if !due || !c.reconcileMu.TryLock() {
+	dueFor := c.reconcileAge.observe(due, time.Now())
+	if !due || coreForTask(config.MembersKey, c.live(), dueFor) != c.host.Name || !c.reconcileMu.TryLock() {
 		return
 	}
 	go func() {
--- a/controlplane/tick.go
+++ b/controlplane/tick.go
@@ -6,7 +6,6 @@
 
 	"asterridge/membership"
 	"asterridge/protocol"
-	"asterridge/rendezvous"
 	"asterridge/rpc"
 	"asterridge/watch"
 )
@@ -127,27 +126,27 @@
 // (docs/design.md §2.3).
 func (c *Core) commitOverdue(ctx context.Context) {
 	for _, key := range c.acceptor.Keys() {
-		if c.isOverdue(key) {
-			owner := rendezvous.Pick(key, c.live())
+		if overdue := c.overdueFor(key); overdue > 0 {
+			owner := coreForTask(key, c.live(), overdue)
 			go c.requestCommit(ctx, owner, key)
 		}
 	}
 }
 
-// isOverdue reports whether a register has had an uncommitted change for longer than a tick.
-func (c *Core) isOverdue(key string) bool {
+// overdueFor returns for how much longer than a tick a register has had an uncommitted change; zero or negative if it is not overdue.
+func (c *Core) overdueFor(key string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.acceptor.Uncommitted(key) {
 		delete(c.uncommittedSince, key)
-		return false
+		return 0
 	}
 	since, known := c.uncommittedSince[key]
 	if !known {
 		c.uncommittedSince[key] = time.Now()
-		return false
+		return 0
 	}
-	return time.Since(since) >= tickInterval
+	return time.Since(since) - tickInterval
 }
 
 // requestCommit asks an owner to commit a register. The error is dropped: the next tick asks again.
--- a/controlplane/transfer.go
+++ b/controlplane/transfer.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"asterridge/apierror"
 	"asterridge/config"
 	"asterridge/membership"
 	"asterridge/protocol"
 	"asterridge/register"
-	"asterridge/rendezvous"
 	"asterridge/router"
 	"asterridge/rpc"
 )
@@ -26,7 +26,8 @@
 func (c *Core) transferKeys(ctx context.Context) {
 	record := c.acceptor.Read(config.MembersKey)
 	due := record.Fields[membership.PreviousField] != nil && record.IsCommitted()
-	if !due || rendezvous.Pick(config.MembersKey, c.live()) != c.host.Name || !c.transferMu.TryLock() {
+	dueFor := c.transferAge.observe(due, time.Now())
+	if !due || coreForTask(config.MembersKey, c.live(), dueFor) != c.host.Name || !c.transferMu.TryLock() {
 		return
 	}
 	go func() {
--- a/sim/second_loss_test.go
+++ b/sim/second_loss_test.go
@@ -88,3 +88,87 @@
 		}
 	}
 }
+
+// Guards against a fleet that serves nobody for as long as one disk takes no writes, after another disk was lost right after a change that
+// only just a majority had accepted; among others where the core with that disk is the one that has to mend the list, or to settle a change.
+func TestDiskLostWhileAnotherTakesNoWrites(t *testing.T) {
+	t.Parallel()
+	for lost := range 4 {
+		for variant := range 4 {
+			powerLost, stalled := variant&1 == 1, variant&2 == 2
+			for _, disturbed := range others(lost, variant) {
+				t.Run(fmt.Sprintf("disk %d lost, %d disturbed, stalled %v, power lost %v", lost+1, disturbed+1, stalled, powerLost), func(t *testing.T) {
+					t.Parallel()
+					inReplaceable(t, 501, 4, 1, func(is *is.I, f *replaceable) {
+						f.startAgent(0, 1, 2)
+						f.startAgent(1, 2, 3)
+						f.untilAllServe(t)
+						release := f.refuseWrites(disturbed, stalled)
+						f.declareAt(lost)
+						f.loseAtTheEnd(lost, powerLost, func() {})
+						f.untilAllServe(t)
+						for core := range 4 {
+							if core != disturbed {
+								f.untilNewestShown(core)
+							}
+						}
+						release()
+						f.checkNothingLost(is)
+					})
+				})
+			}
+		}
+	}
+}
+
+// refuseWrites lets a core's disk stall, or be full, until it is released.
+func (f *replaceable) refuseWrites(core int, stalled bool) (release func()) {
+	if stalled {
+		return f.Disks[core].Stall()
+	}
+	f.Disks[core].Fill(true)
+	return func() { f.Disks[core].Fill(false) }
+}
+
+// untilNewestShown waits until a core shows the newest configuration.
+func (f *replaceable) untilNewestShown(core int) {
+	f.Until(recoverLimit, fmt.Sprintf("core-%d shows the newest configuration", core+1), func() bool {
+		number, _, err := f.declared(core)
+		return err == nil && number == f.number
+	})
+}
+
+// declareAt has a core take one more configuration.
+func (f *replaceable) declareAt(core int) {
+	path := fmt.Sprint("p", f.number+1)
+	f.declare(core, numbered(f.number+1, f.number, f.number == 0, path))
+	f.number++
+	f.paths = append(f.paths, path)
+}
+
+// Guards against edge machines whose settings name only cores that were replaced: after a restart of all, the cores find them.
+func TestAllSeedsOfAgentsAreGone(t *testing.T) {
+	t.Parallel()
+	for _, cores := range []int{3, 4} {
+		t.Run(fmt.Sprint(cores, " cores"), func(t *testing.T) {
+			t.Parallel()
+			inReplaceable(t, 502, cores, 1, func(is *is.I, f *replaceable) {
+				f.startAgent(0, 1, 2)
+				f.startAgent(0, 1, 2)
+				f.untilAllServe(t)
+				f.replaceAllBut()
+				time.Sleep(2 * time.Second)
+				for agent := range f.Proxies {
+					f.Kill(ProxyIP(agent))
+					f.AgentDisks[agent].Wipe() // edge machines have no disk
+				}
+				f.wipe(nil, true)
+				for agent := range f.Proxies {
+					f.StartPair(agent)
+				}
+				f.untilAllServe(t)
+				f.checkNothingLost(is)
+			})
+		})
+	}
+}
