Cores remember the other processes, and find those whose seeds are all gone or outdated

Callers saw: none of an edge machine's requests is served, for good, where its settings name only cores that were replaced or are outdated: after a restart of all, or of that machine alone. Cause: an agent learns the cores from its seeds and from gossip, and gossip is empty after a start; those that run marked it down and never called it. Class: only the side that knows nobody was to make the first call. Evidence: TestAllSeedsOfAgentsAreGone (4 cases) and TestAllSeedsAreOutdated [sim] red before (not within 12s: all proxies are ready). Change: a core keeps the addresses that it knows through gossip on its disk (file nodes), and calls those that it has not heard since its start: all of them each second for 10 s, then three in 5 s, together with nodes that are down.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -114,6 +114,8 @@
 	// recordingSlot lets one goroutine at a time write the unresponsive members to disk. It is a channel rather than a mutex because a
 	// disk may stall for a long time.
 	recordingSlot chan struct{}
+	// recordedNodes are the addresses of the known processes as last written to disk; accessed only by recordNodes after the start.
+	recordedNodes []string
 	// wakeups holds a token if a tick has been requested.
 	wakeups chan struct{}
 
@@ -132,6 +134,8 @@
 	peers map[string]*watch.Client
 	// bootstrapContacts are the cores contacted before a membership existed: incarnation by address.
 	bootstrapContacts map[string]string
+	// outdatedSince is since when members have had an older list of members than another core; replaced as a whole by each tick.
+	outdatedSince map[string]time.Time
 	// uncommittedSince is when a register was first seen with an uncommitted change.
 	uncommittedSince map[string]time.Time
 	// joiners are the cores that ask to be admitted, by name.
@@ -177,6 +181,7 @@
 		return nil, err
 	}
 	c.loadUnresponsive()
+	c.loadNodes()
 	if err := c.loadRegisters(); err != nil {
 		return nil, err
 	}
@@ -255,6 +260,7 @@
 	defer cancel()
 	go c.runBootstrap(ctx)
 	go c.runTicks(ctx)
+	go rpc.Every(ctx, nodesInterval, c.recordNodes)
 	handler := c.handler()
 	go c.runRoles(ctx)
 	if c.options.Backend != nil {
--- a/controlplane/membership.go
+++ b/controlplane/membership.go
@@ -74,9 +74,9 @@
 	return activeMembership{}
 }
 
-// isAssigned reports whether a key is assigned to this core by rendezvous hashing over the live members.
+// isAssigned reports whether a key is assigned to this core by rendezvous hashing over the members that are able to act.
 func (c *Core) isAssigned(key string) bool {
-	return c.hasQuorum() && rendezvous.Pick(key, c.live()) == c.host.Name
+	return c.hasQuorum() && rendezvous.Pick(key, c.able()) == c.host.Name
 }
 
 // live returns the names of the members heard from within membership.LivenessTimeout, including this core.
@@ -249,7 +249,7 @@
 		proposal, due = c.membershipView().Next(members, time.Now())
 	}
 	dueFor := c.reconcileAge.observe(due, time.Now())
-	if !due || coreForTask(config.MembersKey, c.live(), dueFor) != c.host.Name || !c.reconcileMu.TryLock() {
+	if !due || coreForTask(config.MembersKey, c.able(), dueFor) != c.host.Name || !c.reconcileMu.TryLock() {
 		return
 	}
 	go func() {
--- a/controlplane/model_loader.go
+++ b/controlplane/model_loader.go
@@ -128,7 +128,7 @@
 func (l *modelLoader) campaign(ctx context.Context) (fence uint64, held bool) {
 	fence, held = l.candidate.Held()
 	due := time.Since(l.lastCampaign) > loadLease/campaignsPerLease
-	assigned := rendezvous.Pick(leasePrefix+loadingRole, l.core.live()) == l.core.host.Name
+	assigned := rendezvous.Pick(leasePrefix+loadingRole, l.core.able()) == l.core.host.Name
 	if !due || !held && !assigned && !l.candidate.Released() {
 		return fence, held
 	}
--- a/controlplane/operation.go
+++ b/controlplane/operation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -110,7 +111,7 @@
 }
 
 // submit has the register's owner apply a request. If the owner has no quorum, the next owner among the cores that this one considers
-// live is tried, for up to protocol.QuorumTimeout. After that this core applies the request itself, since its view of which cores are
+// able to act is tried, for up to protocol.QuorumTimeout. After that this core applies the request itself, since its view of which cores are
 // live may lag behind which ones it can reach.
 func (o operation[Request, Response]) submit(ctx context.Context, request Request) (Response, error) {
 	var none Response
@@ -120,7 +121,7 @@
 	} else if current.self == nil {
 		return none, apierror.New(apierror.NoMember, "%s is not a member", c.host.Name)
 	}
-	candidates := c.live()
+	candidates := c.able()
 	for start := time.Now(); len(candidates) > 0 && time.Since(start) < protocol.QuorumTimeout; {
 		owner := rendezvous.Pick(o.key(request), candidates)
 		response, err := o.submitTo(ctx, owner, request)
@@ -207,20 +208,47 @@
 	return CommitResponse{Revision: revision}, err
 }
 
-// awaitRevision waits up to protocol.QuorumTimeout until this core's disk has the given revision of a register, or a later committed
-// one. The error is apierror.Behind if neither arrives in time.
+// awaitRevision waits up to protocol.QuorumTimeout until this core has the given committed revision of a register, or a later committed one:
+// on its disk, or as another core reports it while this disk takes no writes. The error is apierror.Behind if neither arrives in time.
 func (c *Core) awaitRevision(ctx context.Context, key string, revision register.Revision) (register.Record, error) {
 	const pollInterval = 30 * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, protocol.QuorumTimeout)
 	defer cancel()
 	for {
 		record := c.acceptor.Read(key)
-		later := revision.Less(record.Revision) && record.IsCommitted() // an uncommitted later revision may still be lost
-		if record.Revision == revision || later {
+		if hasRevision(record, revision) {
 			return record, nil
 		}
+		if reported, ok := c.reportedRevision(key, revision); ok {
+			return reported, nil
+		}
 		if err := rpc.Sleep(ctx, pollInterval); err != nil {
 			return record, apierror.Wrap(err, apierror.Behind, key)
 		}
 	}
 }
+
+// hasRevision reports whether a record has a committed revision or a later committed one. A later one that is not known to be committed may
+// still be lost.
+func hasRevision(record register.Record, revision register.Revision) bool {
+	return record.Revision == revision || revision.Less(record.Revision) && record.IsCommitted()
+}
+
+// reportedRevision returns a register as a peer reports it, if the peer has the given committed revision or a later committed one.
+func (c *Core) reportedRevision(key string, revision register.Revision) (register.Record, bool) {
+	c.mu.Lock()
+	peers := slices.Collect(maps.Values(c.peers))
+	c.mu.Unlock()
+	for _, peer := range peers {
+		accepted, committed := peer.Revisions(key)
+		if !hasRevision(register.Record{Revision: accepted, Committed: committed}, revision) {
+			continue
+		}
+		state := peer.Read(key) // which may be newer by now
+		record := register.Record{Revision: state.Revision, Committed: state.Committed, Fields: state.Fields}
+		if hasRevision(record, revision) {
+			return record, true
+		}
+	}
+	return register.Record{}, false
+}
--- a/controlplane/replica_list.go
+++ b/controlplane/replica_list.go
@@ -52,7 +52,7 @@
 // pickDelegate picks another live core to ask at the next step.
 func (l *replicaLister) pickDelegate() {
 	l.retryOwnAt = time.Now().Add(ownListBackoff)
-	others := slices.DeleteFunc(l.core.live(), func(name string) bool { return name == l.core.host.Name })
+	others := slices.DeleteFunc(l.core.able(), func(name string) bool { return name == l.core.host.Name })
 	if len(others) == 0 {
 		return
 	}
--- a/controlplane/tick.go
+++ b/controlplane/tick.go
@@ -58,6 +58,7 @@
 	caughtUp := failures == 0 && fresh > len(current.members)/2 // peers excludes this core, so a member counts itself in addition
 	changed := c.caughtUp.Swap(caughtUp) != caughtUp
 	c.observeLiveness(current.members)
+	c.observeOutdated(time.Now())
 	if current.self == nil {
 		if caughtUp && changed && !c.leaving.Load() {
 			go c.announce(ctx, current)
@@ -127,7 +128,7 @@
 func (c *Core) commitOverdue(ctx context.Context) {
 	for _, key := range c.acceptor.Keys() {
 		if overdue := c.overdueFor(key); overdue > 0 {
-			owner := coreForTask(key, c.live(), overdue)
+			owner := coreForTask(key, c.able(), overdue)
 			go c.requestCommit(ctx, owner, key)
 		}
 	}
--- a/controlplane/transfer.go
+++ b/controlplane/transfer.go
@@ -27,7 +27,7 @@
 	record := c.acceptor.Read(config.MembersKey)
 	due := record.Fields[membership.PreviousField] != nil && record.IsCommitted()
 	dueFor := c.transferAge.observe(due, time.Now())
-	if !due || coreForTask(config.MembersKey, c.live(), dueFor) != c.host.Name || !c.transferMu.TryLock() {
+	if !due || coreForTask(config.MembersKey, c.able(), dueFor) != c.host.Name || !c.transferMu.TryLock() {
 		return
 	}
 	go func() {
--- a/gossip/detector.go
+++ b/gossip/detector.go
@@ -70,6 +70,9 @@
 	round        int
 	messagesSent int
 	alarms       int // how often this node has marked another one down
+	// remembered are addresses that an earlier run knew and this one has not heard from; startedAt is when Run began.
+	remembered map[string]bool
+	startedAt  time.Time
 }
 
 // entry is the detector's state for another node.
@@ -88,11 +91,12 @@
 // New returns a detector that knows only its own node.
 func New(options Options) *Detector {
 	return &Detector{
-		options:  options,
-		position: positionOf(options.Self.Name),
-		self:     options.Self,
-		nodes:    map[string]*entry{},
-		random:   rand.New(rand.NewPCG(options.Seed, randomStream)),
+		options:    options,
+		position:   positionOf(options.Self.Name),
+		self:       options.Self,
+		nodes:      map[string]*entry{},
+		remembered: map[string]bool{},
+		random:     rand.New(rand.NewPCG(options.Seed, randomStream)),
 	}
 }
 
@@ -100,6 +104,9 @@
 
 // Run sends heartbeats until the context ends.
 func (d *Detector) Run(ctx context.Context) {
+	d.mu.Lock()
+	d.startedAt = time.Now()
+	d.mu.Unlock()
 	d.tick(ctx)
 	rpc.Every(ctx, d.options.Interval, func() { d.tick(ctx) })
 }
@@ -155,6 +162,7 @@
 	if d.round%fullSyncRounds == 0 {
 		fullSyncTarget = d.randomAddress()
 	}
+	targets = append(targets, d.lostAddresses(now)...)
 	d.messagesSent += len(targets)
 	if fullSyncTarget != "" {
 		d.messagesSent++
@@ -235,6 +243,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(d.remembered, address)
 	for _, update := range reply.Updates {
 		d.apply(update)
 	}
@@ -305,6 +314,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	_, known := d.nodes[message.From.Name]
+	delete(d.remembered, message.From.Address)
 	d.apply(message.From)
 	for _, update := range message.Updates {
 		d.apply(update)
