--- a/sim/closing_fault_test.go
+++ b/sim/closing_fault_test.go
@@ -43,6 +43,8 @@
 	t       *testing.T
 	draw    *rand.Rand
 	trouble sync.WaitGroup // faults that end by themselves
+	// lostUntil is when the machine that lost its disk last counts as caught up: no other disk is lost before.
+	lostUntil time.Time
 }
 
 const (
@@ -62,20 +64,26 @@
 			d.change()
 			time.Sleep(d.upTo(400 * time.Millisecond))
 		}
-		if d.draw.IntN(4) > 0 {
+		if d.draw.IntN(3) > 0 {
 			d.trouble.Wait()
 			d.untilWhole(recoverLimit)
-			time.Sleep(4 * time.Second) // catch_up_s
+			time.Sleep(catchUpTime)
 			d.change()
 			d.Until(applyLimit, "a change is in force at all proxies", d.allHaveNewest)
 		}
 	}
-	d.trouble.Wait()
-	d.untilWhole(recoverLimit)
-	time.Sleep(4 * time.Second)
-	d.disturbDisks()
-	d.change()
-	d.closing()
+	if d.draw.IntN(2) == 0 {
+		d.trouble.Wait()
+		d.untilWhole(recoverLimit)
+		time.Sleep(catchUpTime)
+	}
+	if d.draw.IntN(3) == 0 {
+		d.loseTwice()
+	} else {
+		d.disturbDisks()
+		d.change()
+		d.closing(d.closingLoss(), func() {})
+	}
 	d.untilAllServe(d.t)
 	d.Until(recoverLimit, "all proxies have the newest configuration", d.allHaveNewest)
 	d.trouble.Wait()
@@ -171,15 +179,23 @@
 	d.t.Log("event ", event, " at core ", core+1)
 	switch event {
 	case 0: // replaced in order
+		d.awaitWhole()
 		d.join()
 		time.Sleep(time.Second + d.upTo(4*time.Second))
 		d.end(core, true)
 	case 1: // replaced without a word
+		d.awaitWhole()
 		d.end(core, false)
 		time.Sleep(d.upTo(8 * time.Second))
 		d.join()
-	case 2:
+		d.noteLoss()
+	case 2: // another disk may be in trouble meanwhile
+		d.awaitCatchUp()
+		if other := d.anyCore(); other != core && d.draw.IntN(2) == 0 {
+			d.disturbDisk(other)
+		}
 		d.wipe([]int{core}, d.draw.IntN(2) == 0)
+		d.noteLoss()
 	case 3:
 		d.wipe(nil, true)
 	case 4: // frozen
@@ -211,7 +227,7 @@
 		d.Net.Freeze(ProxyIP(agent), true)
 		d.later(d.upTo(9*time.Second), func() { d.Net.Freeze(ProxyIP(agent), false) })
 	case 8: // away while all others are replaced
-		d.untilWhole(recoverLimit)
+		d.awaitWhole()
 		d.replaceAllBut(core)
 		d.bringBack(core)
 	default:
@@ -219,6 +235,20 @@
 	}
 }
 
+// awaitWhole waits until all trouble is over, the members are those that run, and the last loss counts as made good. Nobody can tell a
+// machine that is gone for good from a silent one, so no other loss may overlap with it.
+func (d *closingDay) awaitWhole() {
+	d.trouble.Wait()
+	d.untilWhole(recoverLimit)
+	d.awaitCatchUp()
+}
+
+// awaitCatchUp waits until the last machine that lost its disk counts as caught up, whether or not it is a member by then.
+func (d *closingDay) awaitCatchUp() { time.Sleep(time.Until(d.lostUntil)) }
+
+// noteLoss records that a machine which lost its disk is back now.
+func (d *closingDay) noteLoss() { d.lostUntil = time.Now().Add(catchUpTime) }
+
 // join starts the next machine.
 func (d *closingDay) join() {
 	d.StartCore(d.next)
@@ -234,9 +264,12 @@
 	})
 }
 
-// disturbDisks lets a core's disk stall, refuse writes or be slow for some seconds.
-func (d *closingDay) disturbDisks() {
-	core, lasting := d.anyCore(), time.Second+d.upTo(7*time.Second)
+// disturbDisks lets the disk of some core stall, refuse writes or be slow for some seconds.
+func (d *closingDay) disturbDisks() { d.disturbDisk(d.anyCore()) }
+
+// disturbDisk lets a core's disk stall, refuse writes or be slow for some seconds.
+func (d *closingDay) disturbDisk(core int) {
+	lasting := time.Second + d.upTo(7*time.Second)
 	disk := d.Disks[core]
 	switch d.draw.IntN(4) {
 	case 0:
@@ -272,15 +305,36 @@
 	d.StartPair(agent)
 }
 
-// closing ends all processes right after the last acknowledgement, or all but those whose disk is not lost; they are back after a moment.
-func (d *closingDay) closing() {
-	time.Sleep(d.upTo(3 * time.Millisecond))
-	lost, all := -1, d.draw.IntN(3) > 0
+// closingLoss draws the core that loses its disk in the closing fault; -1: none does.
+func (d *closingDay) closingLoss() int {
 	if d.draw.IntN(2) == 0 {
-		lost = d.anyCore()
-	} else {
-		all = true
+		return -1
 	}
+	d.awaitCatchUp()
+	return d.anyCore()
+}
+
+// loseTwice ends the day with a disk that is lost when another one has had its time to catch up, but could not be admitted since a third
+// disk takes no writes until the closing fault.
+func (d *closingDay) loseTwice() {
+	d.awaitWhole()
+	d.change()
+	order := d.draw.Perm(len(d.live))
+	first, second, disturbed := d.live[order[0]], d.live[order[1]], d.live[order[2]]
+	d.t.Log("disk of ", first+1, " lost, then of ", second+1, ", while that of ", disturbed+1, " takes no writes")
+	release := d.refuseWrites(disturbed, d.draw.IntN(2) == 0)
+	d.wipe([]int{first}, false)
+	d.noteLoss()
+	d.awaitCatchUp()
+	d.closing(second, release)
+}
+
+// closing ends all processes, or only the core whose disk is lost (-1: none), right after the last acknowledgement if the disks took it;
+// other trouble ends with it. They are back after a moment.
+func (d *closingDay) closing(lost int, endTrouble func()) {
+	all := lost < 0 || d.draw.IntN(3) > 0
+	time.Sleep(d.upTo(3 * time.Millisecond))
+	endTrouble()
 	d.t.Log("closing: disk of ", lost+1, " lost, all others down ", all)
 	var down []int
 	for _, core := range d.live {
