Cores with an outdated list get tasks if no other is left; nodes down for long are not called

By reading: if the core with the newest list ended after it had reported it, all others counted as outdated, and nobody settled, transferred or proposed anything. Gossip would have called nodes that are down for ever. Change: withoutOutdated falls back to all live members; nodes that are down are called for ten minutes.

--- a/controlplane/takeover.go
+++ b/controlplane/takeover.go
@@ -93,8 +93,20 @@
 	live, now := c.live(), time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.DeleteFunc(live, func(name string) bool {
-		since, outdated := c.outdatedSince[name]
-		return outdated && now.Sub(since) >= outdatedGrace
-	})
+	return withoutOutdated(live, c.outdatedSince, now)
+}
+
+// withoutOutdated returns the live members that have not had an older list for outdatedGrace; all of them if that leaves none, since the core
+// with the newest list may have ended since it reported it.
+func withoutOutdated(live []string, outdatedSince map[string]time.Time, now time.Time) []string {
+	var able []string
+	for _, name := range live {
+		if since, outdated := outdatedSince[name]; !outdated || now.Sub(since) < outdatedGrace {
+			able = append(able, name)
+		}
+	}
+	if len(able) == 0 {
+		return live
+	}
+	return able
 }
--- a/gossip/reconnect.go
+++ b/gossip/reconnect.go
@@ -16,7 +16,7 @@
 	maxRetries = 3
 	// maxRemembered bounds the remembered addresses.
 	maxRemembered = 1024
-	// forgetAfter is how long a remembered address is tried without an answer.
+	// forgetAfter is how long an address is tried without an answer.
 	forgetAfter = 10 * time.Minute
 )
 
@@ -63,11 +63,12 @@
 	case d.round%fullSyncRounds != 0:
 		return nil
 	}
-	for _, node := range d.others(true) {
-		if node.Down {
-			lost = append(lost, node.Address)
+	for _, e := range d.nodes {
+		if e.Down && now.Sub(e.lastHeard) < forgetAfter {
+			lost = append(lost, e.Address)
 		}
 	}
+	slices.Sort(lost) // so that a seed gives the same order
 	d.random.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
 	return lost[:min(len(lost), maxRetries)]
 }
