A disk counts as lost only by an answer from its address to a question of one's own

Callers saw: nothing yet; found by reading. Half of the members could change the list on one side of a cut, so that two lists had majorities. Cause: a hello that arrives was the proof of a lost disk. It may be late, from a life before the member's at that address. Class: old news taken for the present state. Evidence: TestLateHelloIsNoProofOfALostDisk [sim] red on (version 5 on one side of a cut two by two, 3 expected). Change: a hello is a reason to ask; the proof is another incarnation in the answer to a question sent to the member's address after it was met on a list (lostDisks). It is kept by incarnation. Result: green; the tests of second losses, full and stalled disks and lost seeds pass.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -108,6 +108,8 @@
 	reconcileMu  sync.Mutex
 	refreshMu    sync.Mutex
 	supersededMu sync.Mutex
+	// lostDisks are the disks of members that are proven lost.
+	lostDisks lostDisks
 	// reconcileAge and transferAge are accessed only by ticks.
 	reconcileAge taskAge
 	transferAge  taskAge
--- a/controlplane/tick.go
+++ b/controlplane/tick.go
@@ -65,6 +65,7 @@
 		}
 		return // a joiner only catches up
 	}
+	c.askForLostDisks(ctx, current.members)
 	c.commitOverdue(ctx)
 	c.transferKeys(ctx)
 	if c.options.AutoMembership {
--- a/controlplane/voters.go
+++ b/controlplane/voters.go
@@ -1,8 +1,6 @@
 package controlplane
 
 import (
-	"time"
-
 	"asterridge/apierror"
 	"asterridge/config"
 	"asterridge/membership"
@@ -19,7 +17,7 @@
 	}
 	lost := map[uint32]bool{}
 	if key == config.MembersKey {
-		lost = c.lostDisks(current.members)
+		lost = c.lostDisks.among(current.members)
 	}
 	client := acceptorClient{core: c, membersVersion: current.version}
 	voters := register.Voters{Lost: len(lost)}
@@ -35,19 +33,6 @@
 	return voters, nil
 }
 
-// lostDisks returns the IDs of the members whose disks are proven lost.
-func (c *Core) lostDisks(members []config.Member) map[uint32]bool {
-	lost, now := map[uint32]bool{}, time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, joiner := range c.joiners {
-		if member, ok := joiner.LostDisk(members, now); ok && c.lastHeard(member).Before(joiner.HeardAt) {
-			lost[member.ID] = true
-		}
-	}
-	return lost
-}
-
 // hasQuorumFor reports whether this core is in contact with as many members as are needed to change a register.
 func (c *Core) hasQuorumFor(key string) bool {
 	voters, err := c.voters(key)
--- a/membership/change.go
+++ b/membership/change.go
@@ -41,8 +41,8 @@
 	HeardAt             time.Time
 }
 
-// LostDisk returns the member that had the joiner's address with another disk: that disk is lost, since an address belongs to one machine
-// at a time. It reports false if there is none, or if the joiner was not heard recently.
+// LostDisk returns the member that has the joiner's address with another disk, which may be lost. It reports false if there is none, or if
+// the joiner was not heard recently. It is no proof: the joiner's hello may be late, and the joiner's life be over.
 func (j Joiner) LostDisk(members []config.Member, now time.Time) (config.Member, bool) {
 	if now.Sub(j.HeardAt) > JoinerTimeout {
 		return config.Member{}, false
