--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -121,7 +121,7 @@
 	// wakeups holds a token if a tick has been requested.
 	wakeups chan struct{}
 
-	// loggedFailures is the set of keys for which a failure to catch up has been logged.
+	// loggedFailures is the set of keys, and of revisions of the list of members, for which a failure to catch up has been logged.
 	loggedFailures sync.Map
 	// claimFirstSeen is when this process first saw each claim; used only by pruneClaims.
 	claimFirstSeen map[string]time.Time
--- a/controlplane/membership.go
+++ b/controlplane/membership.go
@@ -181,7 +181,9 @@
 		return
 	}
 	if err := c.acceptor.Adopt(config.MembersKey, record.Revision, record.Fields); err != nil {
-		c.host.Log.Error().Uint64("version", record.Revision.Version).Err(err).Msg("membership not adopted")
+		if _, logged := c.loggedFailures.LoadOrStore(record.Revision, true); !logged { // log once: a full disk fails at every message
+			c.host.Log.Error().Uint64("version", record.Revision.Version).Err(err).Msg("membership not adopted")
+		}
 		return
 	}
 	c.applyMembers()
